Run on the users' platform: leader-ordered placement, entries that relay bytes

Cause: no request of the platform was served; every path assumed agents and the product's own generate protocol.

The control leader keeps a table of targets that announce themselves, stores the configuration as a document ordered by its version, decides which models engines hold and alone gives them orders, fenced by its term.

Ruled out for now: agents beside the replicas; see docs/decisions/platform.md.

--- /dev/null
+++ b/control/adapter.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"bulrushpath.example/lib/scale"
+	"bulrushpath.example/lib/site"
+	"bulrushpath.example/lib/wire"
+)
+
+const (
+	// adapterTime is the time that an adapter takes to arrive.
+	adapterTime = 20 * time.Millisecond
+	// adapterIdle is how long an adapter is not used before it makes way.
+	adapterIdle = 500 * time.Millisecond
+	// adapterUnknown is how long an adapter counts as on its way after an order
+	// without an answer.
+	adapterUnknown = 15 * time.Second
+)
+
+var (
+	errNoOrders  = errors.New("a new leader gives no orders yet")
+	errNoModel   = errors.New("the target does not hold the model")
+	errAllInUse  = errors.New("all adapter places are in use")
+	errNoEngines = errors.New("the service has no engines")
+)
+
+// Fetch makes an adapter resident at a target that holds its model, and answers
+// when it is expected to be there.
+func (f *Fleet) Fetch(ctx context.Context, req *wire.FetchRequest) (reply *wire.FetchReply, err error) {
+	_, end, err := f.svc.begin(ctx, "Fetch", req.GetProtocol())
+	if err != nil {
+		return nil, err
+	}
+	defer func() { end(err) }()
+	f.mu.Lock()
+	term, err := f.lead()
+	st, since := f.stations[req.GetTarget()], f.since
+	f.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	var readyAt time.Time
+	refusal := errNoModel
+	switch {
+	case time.Since(since) < f.orderPause:
+		refusal = errNoOrders
+	case st != nil:
+		readyAt, refusal = f.fetch(term, st, req.GetModel(), req.GetAdapter())
+	}
+	f.log.Info().Str("event", "adapterFetched").Str("target", req.GetTarget()).Str("model", req.GetModel()).
+		Str("adapter", req.GetAdapter()).Uint64("term", term).Err(refusal).Msg("")
+	if refusal != nil {
+		return &wire.FetchReply{Message: refusal.Error()}, nil
+	}
+	if wait := time.Until(readyAt); wait > 0 {
+		f.pause(wait)
+	}
+	return &wire.FetchReply{Accepted: true}, nil
+}
+
+// fetch orders the adapter if it is not at the engine, after an unload if all
+// places are taken. One fetch at a time runs for each engine.
+func (f *Fleet) fetch(term uint64, st *station, model, adapter string) (readyAt time.Time, err error) {
+	st.sending.Lock()
+	defer st.sending.Unlock()
+	if at, ok := f.heldAdapter(st, model, adapter); ok {
+		return at, nil
+	}
+	load := scale.Order{Op: scale.Load, Model: model, Adapter: adapter}
+	if _, err := f.recount(term, st, load, false); err != nil {
+		return time.Time{}, err
+	}
+	if at, ok := f.heldAdapter(st, model, adapter); ok {
+		return at, nil
+	}
+	if err := f.makePlace(term, st); err != nil {
+		return time.Time{}, err
+	}
+	if !f.reserve(st, model, adapter) {
+		return time.Time{}, errNoModel
+	}
+	result, err := f.deliver(term, st, load)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer f.table.Touch(st.ID)
+	c := st.Copies[model]
+	if c == nil {
+		return time.Time{}, errNoModel
+	}
+	switch result {
+	case Accepted, Holds:
+		readyAt = time.Now().Add(adapterTime)
+		if a := c.Adapters[adapter]; a != nil {
+			a.ReadyAt = readyAt
+		}
+		return readyAt, nil
+	case Unanswered:
+		// It may still be carried out, so its place stays taken.
+	case Conflict, Fenced, Invalid, NotSent, NoRoom:
+		delete(c.Adapters, adapter)
+	}
+	return time.Time{}, fmt.Errorf("order %s: %w", result, err)
+}
+
+// heldAdapter returns when the adapter is usable, if it is at the engine.
+func (f *Fleet) heldAdapter(st *station, model, adapter string) (readyAt time.Time, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := st.Copies[model]
+	if c == nil || c.Adapters[adapter] == nil {
+		return time.Time{}, false
+	}
+	a := c.Adapters[adapter]
+	a.Used = time.Now()
+	if a.Leaving || time.Until(a.ReadyAt) > adapterTime {
+		return time.Time{}, false
+	}
+	return a.ReadyAt, true
+}
+
+// reserve takes a place for the adapter before it is ordered.
+func (f *Fleet) reserve(st *station, model, adapter string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := st.Copies[model]
+	if c == nil {
+		return false
+	}
+	now := time.Now()
+	c.Adapters[adapter] = &scale.Adapter{ReadyAt: now.Add(adapterUnknown), Used: now}
+	return true
+}
+
+// makePlace unloads the adapter that was used least recently if no place is free.
+func (f *Fleet) makePlace(term uint64, st *station) error {
+	f.mu.Lock()
+	e, err := f.engineOf(st)
+	if err != nil || st.AdapterCount() < e.AdapterPlaces {
+		f.mu.Unlock()
+		return err
+	}
+	model, adapter, ok := st.Stale(time.Now().Add(-adapterIdle))
+	f.mu.Unlock()
+	if !ok {
+		return errAllInUse
+	}
+	result, err := f.deliver(term, st, scale.Order{Op: scale.Unload, Model: model, Adapter: adapter})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer f.table.Touch(st.ID)
+	c := st.Copies[model]
+	if c == nil || c.Adapters[adapter] == nil {
+		return nil
+	}
+	switch result {
+	case Holds:
+		delete(c.Adapters, adapter)
+		return nil
+	case Accepted, Unanswered:
+		// The unload waits for running requests, or may not have been taken.
+		c.Adapters[adapter].Leaving = true
+	case Conflict, Fenced, Invalid, NotSent, NoRoom:
+	}
+	return fmt.Errorf("unload of %s/%s %s: %w", model, adapter, result, errors.Join(errAllInUse, err))
+}
+
+// engineOf returns the engines' limits; the caller holds mu.
+func (f *Fleet) engineOf(st *station) (*site.Engine, error) {
+	index := f.current()
+	if index == nil {
+		return nil, errNoEngines
+	}
+	s := index.Service(st.at.Service)
+	if s == nil || s.Engine == nil {
+		return nil, errNoEngines
+	}
+	return s.Engine, nil
+}
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -1,4 +1,4 @@
-package main
+package control
 
 import (
 	"context"
@@ -29,7 +29,7 @@
 func (i *instance) start() {
 	ctx, stop := context.WithCancel(context.Background())
 	i.stop, i.done = stop, make(chan error, 1)
-	go func() { i.done <- i.settings.run(ctx, process()) }()
+	go func() { i.done <- Run(ctx, process(), i.settings.Control) }()
 }
 
 func (i *instance) end(t *testing.T) {
--- a/control/run.go
+++ b/control/run.go
@@ -1,4 +1,7 @@
-package main
+// Package control is one instance of the control group: it replicates the
+// configuration, the claims, the suspects and the incarnations, and its leader
+// keeps the tables of targets and decides what is resident where.
+package control
 
 import (
 	"context"
@@ -13,16 +16,42 @@
 	"bulrushpath.example/lib/wire"
 )
 
-// run serves until ctx ends, then hands the leadership over and stops.
-func (s *Settings) run(ctx context.Context, p *daemon.Process) error {
+// Run serves until ctx ends, then hands the leadership over and stops.
+func Run(ctx context.Context, p *daemon.Process, c Control, opts ...Option) error {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
 	pool := link.NewPool()
 	defer func() { _ = pool.Close() }()
-	svc := newService(s.Control.ID, p)
+	svc := newService(c.ID, p)
 	var err error
-	if svc.group, err = s.Control.openGroup(svc, pool, p.Log); err != nil {
+	if svc.group, err = c.openGroup(svc, pool, p.Log); err != nil {
 		return err
 	}
-	srv, err := link.Listen(s.Control.Listen, svc.register)
+	tasks := svc.tasks(c)
+	register := svc.register
+	if o.fleet {
+		f := newFleet(svc, p.Log, p.Scope, p.Common.Name, &o)
+		defer func() { _ = f.Close() }()
+		tasks = append(tasks, daemon.Task{Name: "planFleet", Period: fleetPeriod, Run: func(context.Context) error {
+			f.tick(time.Now())
+			return nil
+		}})
+		register = func(mux *drpcmux.Mux) error {
+			if err := svc.register(mux); err != nil {
+				return err
+			}
+			return wire.DRPCRegisterFleet(mux, f)
+		}
+		front, err := o.front(f)
+		if err != nil {
+			_ = svc.group.Close()
+			return err
+		}
+		defer func() { _ = front.Close() }()
+	}
+	srv, err := link.Listen(c.Listen, register)
 	if err != nil {
 		_ = svc.group.Close()
 		return err
@@ -31,9 +60,9 @@
 	taskCtx, stopTasks := context.WithCancel(context.Background())
 	defer stopTasks()
 	var wg sync.WaitGroup
-	wg.Go(func() { daemon.RunTasks(taskCtx, p.Log, svc.tasks(s.Control)) })
+	wg.Go(func() { daemon.RunTasks(taskCtx, p.Log, tasks) })
 	<-ctx.Done()
-	err = svc.shutdown(s.Control.ShutdownTimeout)
+	err = svc.shutdown(c.ShutdownTimeout)
 	stopTasks()
 	wg.Wait()
 	_ = srv.Close()
--- a/e2e/proc/proc.go
+++ b/e2e/proc/proc.go
@@ -19,7 +19,7 @@
 var programs = map[string]string{
 	"bulrush-entry":   "./entry",
 	"bulrush-agent":   "./agent",
-	"bulrush-control": "./control",
+	"bulrush-control": "./control/bulrush-control",
 	"bulrush-standin": "./standin",
 	"bulrush-load":    "./load",
 	"bulrushpath":     "./ctl",
--- /dev/null
+++ b/entry/gate/report.go
@@ -0,0 +1,213 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bulrushpath.example/lib/link"
+	"bulrushpath.example/lib/site"
+	"bulrushpath.example/lib/wire"
+)
+
+const (
+	// reportPeriod is the time between two reports to control; it bounds how old
+	// the configuration and the table of targets may be.
+	reportPeriod = 200 * time.Millisecond
+	// kickPause is the shortest time between two reports.
+	kickPause = 30 * time.Millisecond
+	// reportTimeout bounds one report, so that a silently cut instance of control is
+	// left for the next one.
+	reportTimeout = 500 * time.Millisecond
+	// fetchTimeout bounds the request for one adapter.
+	fetchTimeout = 1200 * time.Millisecond
+)
+
+// reportDue waits until the next report is due and sends it.
+func (g *Gate) reportDue(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(reportPeriod - kickPause):
+	case <-g.kick:
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(kickPause):
+	}
+	return g.report(ctx)
+}
+
+// hurry asks for a report now.
+func (g *Gate) hurry() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// report tells control what this instance sees and takes what is new.
+func (g *Gate) report(ctx context.Context) error {
+	req := g.request()
+	var reply *wire.FleetReply
+	err := g.ask(ctx, reportTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (err error) {
+		reply, err = c.Report(ctx, req)
+		return err
+	})
+	if err != nil {
+		g.met.lost(time.Unix(0, g.contact.Load()))
+		return fmt.Errorf("report to control: %w", err)
+	}
+	now := time.Now()
+	if before := g.contact.Swap(now.UnixNano()); now.Sub(time.Unix(0, before)) > contactWithin {
+		g.log.Info().Str("event", "controlReached").Uint64("term", reply.GetTerm()).Msg("")
+	}
+	g.takeDocument(reply.GetDocument())
+	g.takeTable(now, reply)
+	return nil
+}
+
+func (g *Gate) request() *wire.FleetRequest {
+	now := time.Now()
+	req := &wire.FleetRequest{Protocol: link.Protocol, Name: g.name, Zone: g.zone}
+	if x := g.index.Load(); x != nil {
+		req.DocumentVersion = x.Config.Version
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	req.Term, req.TableVersion = g.fleet.term, g.fleet.version
+	req.Loads = g.fleet.loads(g.adapters)
+	clear(g.adapters)
+	req.Demand = g.demand.Report(now)
+	return req
+}
+
+// takeDocument puts a newer configuration into effect.
+func (g *Gate) takeDocument(doc *wire.Document) {
+	if doc == nil {
+		return
+	}
+	var held uint64
+	if x := g.index.Load(); x != nil {
+		held = x.Config.Version
+	}
+	if doc.GetVersion() <= held {
+		return
+	}
+	cfg, err := g.decode(doc.GetVersion(), doc.GetContent())
+	if err != nil {
+		g.log.Error().Str("event", "configUnreadable").Uint64("version", doc.GetVersion()).Err(err).Msg("")
+		return
+	}
+	g.index.Store(site.NewIndex(cfg))
+	g.log.Info().Str("event", "configInEffect").Uint64("version", doc.GetVersion()).
+		Uint64("replaced", held).Int("routes", len(cfg.Routes)).Msg("")
+}
+
+func (g *Gate) takeTable(now time.Time, reply *wire.FleetReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	term := g.fleet.term
+	added, left, gone := g.fleet.take(now, reply)
+	if len(added)+len(left)+len(gone) > 0 || term != reply.GetTerm() {
+		g.log.Info().Str("event", "tableChanged").Uint64("term", reply.GetTerm()).
+			Uint64("version", reply.GetTableVersion()).Strs("added", added).Strs("leaving", left).
+			Strs("gone", gone).Msg("")
+	}
+	g.setBudget(int(reply.GetEntries()))
+	g.control = g.control[:0]
+	for _, text := range reply.GetControl() {
+		if addr, err := netip.ParseAddrPort(text); err == nil {
+			g.control = append(g.control, addr)
+		}
+	}
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// ask calls the control leader, following redirects; each instance is tried once.
+func (g *Gate) ask(ctx context.Context, timeout time.Duration,
+	fn func(ctx context.Context, c wire.DRPCFleetClient) error,
+) error {
+	var last error
+	tried := make(map[netip.AddrPort]bool)
+	for _, addr := range g.controls() {
+		for range 2 {
+			if tried[addr] || ctx.Err() != nil {
+				break
+			}
+			tried[addr] = true
+			tryCtx, cancel := context.WithTimeout(ctx, timeout)
+			err := fn(tryCtx, wire.NewDRPCFleetClient(g.drpc.Conn(tryCtx, addr)))
+			cancel()
+			if err == nil {
+				g.mu.Lock()
+				g.leader = addr
+				g.mu.Unlock()
+				return nil
+			}
+			last = fmt.Errorf("control at %s: %w", addr, err)
+			to, ok := link.LeaderOf(err)
+			if !ok {
+				break
+			}
+			addr = to
+		}
+	}
+	if last == nil {
+		return fmt.Errorf("no address of control is known")
+	}
+	return last
+}
+
+// controls returns the addresses to try: the last leader, the members that it
+// named, and the seeds.
+func (g *Gate) controls() []netip.AddrPort {
+	g.mu.Lock()
+	out := make([]netip.AddrPort, 0, 8)
+	if g.leader.IsValid() {
+		out = append(out, g.leader)
+	}
+	rest := slices.Concat(g.control, g.seeds())
+	g.mu.Unlock()
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return append(out, rest...)
+}
+
+// fetch asks control for an adapter at a target; it returns when the adapter is
+// expected to be there.
+func (g *Gate) fetch(ctx context.Context, target, model, adapter string) error {
+	var reply *wire.FetchReply
+	err := g.ask(ctx, fetchTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (err error) {
+		reply, err = c.Fetch(ctx, &wire.FetchRequest{
+			Protocol: link.Protocol, Target: target, Model: model, Adapter: adapter,
+		})
+		return err
+	})
+	switch {
+	case err != nil:
+		return err
+	case !reply.GetAccepted():
+		return fmt.Errorf("adapter refused: %s", reply.GetMessage())
+	}
+	return nil
+}
+
+// signOff tells control that this instance takes no more part; its lease runs out
+// by itself if that is lost.
+func (g *Gate) signOff() {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	req := &wire.FleetRequest{Protocol: link.Protocol, Name: g.name, Leaving: true}
+	err := g.ask(ctx, reportTimeout, func(ctx context.Context, c wire.DRPCFleetClient) error {
+		_, err := c.Report(ctx, req)
+		return err
+	})
+	if err != nil {
+		g.log.Warn().Str("event", "signOffFailed").Err(err).Msg("")
+	}
+}
--- /dev/null
+++ b/entry/gate/table.go
@@ -0,0 +1,148 @@
+package gate
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"bulrushpath.example/lib/steer"
+	"bulrushpath.example/lib/wire"
+)
+
+// coldKeep is how long targets of an earlier leader's table stay in use while the
+// new leader has not heard of them. It exceeds the lease of an announcement.
+const coldKeep = 8 * time.Second
+
+// fleetTable is the entry instance's copy of the leader's table of targets.
+type fleetTable struct {
+	term, version uint64
+	targets       map[string]*steer.Target
+	// services holds the targets of each service, ordered by id.
+	services map[string][]*steer.Target
+	// orphans are targets that the current leader has not named yet, with the
+	// time at which they are given up.
+	orphans map[string]time.Time
+}
+
+func newFleetTable() *fleetTable {
+	return &fleetTable{
+		targets: make(map[string]*steer.Target), services: make(map[string][]*steer.Target),
+		orphans: make(map[string]time.Time),
+	}
+}
+
+// take applies the leader's answer and returns the ids of targets that are new,
+// left or gone, for the log.
+func (f *fleetTable) take(now time.Time, reply *wire.FleetReply) (added, left, gone []string) {
+	if reply.GetWhole() && reply.GetTerm() != f.term {
+		for id := range f.targets {
+			f.orphans[id] = now.Add(coldKeep)
+		}
+	}
+	f.term, f.version = reply.GetTerm(), reply.GetTableVersion()
+	for _, r := range reply.GetTargets() {
+		delete(f.orphans, r.GetId())
+		old := f.targets[r.GetId()]
+		switch {
+		case r.GetRemoved():
+			if old != nil && old.Born.UnixMilli() <= r.GetBornMillis() {
+				delete(f.targets, r.GetId())
+				gone = append(gone, r.GetId())
+			}
+		case old == nil || old.Born.UnixMilli() < r.GetBornMillis():
+			t := &steer.Target{ID: r.GetId()}
+			if fill(now, t, r) {
+				f.targets[r.GetId()] = t
+				added = append(added, r.GetId())
+			}
+		default:
+			ready := old.Ready
+			fill(now, old, r)
+			// A target that leaves does not come back, whatever a new leader knows.
+			old.Ready = old.Ready && ready
+			if ready && !old.Ready {
+				left = append(left, r.GetId())
+			}
+		}
+	}
+	for id, until := range f.orphans {
+		if now.After(until) {
+			delete(f.orphans, id)
+			delete(f.targets, id)
+			gone = append(gone, id)
+		}
+	}
+	f.regroup()
+	f.addOthers(reply.GetLoads())
+	return added, left, gone
+}
+
+// fill copies a record into a target; false means that it cannot be used.
+func fill(now time.Time, t *steer.Target, r *wire.FleetTarget) bool {
+	addr, err := netip.ParseAddrPort(r.GetAddress())
+	if err != nil {
+		return false
+	}
+	t.Addr, t.Zone, t.Service = addr, r.GetZone(), r.GetService()
+	t.Born, t.Slots = time.UnixMilli(r.GetBornMillis()), int(r.GetSlots())
+	t.Ready = r.GetPhase() == wire.Phase_PHASE_READY
+	t.Models = make(map[string]*steer.Model, len(r.GetModels()))
+	for _, m := range r.GetModels() {
+		x := &steer.Model{Leaving: m.GetLeaving(), Adapters: make(map[string]bool, len(m.GetAdapters()))}
+		if left := m.GetLoadingMicros(); left > 0 {
+			x.ReadyAt = now.Add(time.Duration(left) * time.Microsecond)
+		}
+		for _, a := range m.GetAdapters() {
+			x.Adapters[a] = true
+		}
+		t.Models[m.GetName()] = x
+	}
+	return true
+}
+
+func (f *fleetTable) regroup() {
+	clear(f.services)
+	for _, t := range f.targets {
+		f.services[t.Service] = append(f.services[t.Service], t)
+	}
+	for _, list := range f.services {
+		slices.SortFunc(list, func(a, b *steer.Target) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
+func (f *fleetTable) addOthers(loads []*wire.TargetLoad) {
+	for _, t := range f.targets {
+		t.Others = steer.Load{}
+	}
+	for _, l := range loads {
+		if t := f.targets[l.GetTarget()]; t != nil {
+			t.Others = steer.Load{
+				Running: int(l.GetRunning()), PromptTokens: int(l.GetPromptTokens()),
+				MemoryTokens: int(l.GetMemoryTokens()),
+			}
+		}
+	}
+}
+
+// loads returns what this instance has under way, for the report to control.
+func (f *fleetTable) loads(adapters map[string]map[string]bool) []*wire.TargetLoad {
+	var out []*wire.TargetLoad
+	for id, t := range f.targets {
+		used := adapters[id]
+		if t.Own.Running <= 0 && len(used) == 0 {
+			continue
+		}
+		l := &wire.TargetLoad{
+			Target: id, Running: uint32(max(t.Own.Running, 0)),
+			PromptTokens: uint64(max(t.Own.PromptTokens, 0)), MemoryTokens: uint64(max(t.Own.MemoryTokens, 0)),
+		}
+		for name := range used {
+			l.Adapters = append(l.Adapters, name)
+		}
+		slices.Sort(l.Adapters)
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(a, b *wire.TargetLoad) int { return strings.Compare(a.GetTarget(), b.GetTarget()) })
+	return out
+}
--- a/lib/daemon/daemon.go
+++ b/lib/daemon/daemon.go
@@ -57,6 +57,13 @@
 ) int {
 	var flags Flags
 	kong.Parse(&flags, kong.Name("bulrush-"+program), kong.Description(usage))
+	return Run(program, flags, s, common, run)
+}
+
+// Run is Main for a program that has read its own command line.
+func Run(program string, flags Flags, s Settings, common *Common,
+	run func(ctx context.Context, p *Process) error,
+) int {
 	if err := LoadSettings(flags.Settings, s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
@@ -103,8 +110,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &Process{Common: c, Log: stderrLogger(c), Scope: scope, Tracer: tracer}
+	logs := newLogWriter(os.Stdout)
+	p := &Process{Common: c, Log: NewLogger(logs, c.LogLevel, c.Name), Scope: scope, Tracer: tracer}
 	return p, func() {
+		defer func() { _ = logs.Close() }()
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
 		if srv != nil {
--- a/lib/daemon/logs.go
+++ b/lib/daemon/logs.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"os"
 	"strconv"
 
 	"github.com/phuslu/log"
@@ -34,8 +33,6 @@
 	return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 }
 
-func stderrLogger(c Common) *log.Logger { return NewLogger(os.Stderr, c.LogLevel, c.Name) }
-
 // formatLine writes one event as key=value pairs. The library's own formatter
 // writes true values without "=true" and ends every line in an empty message.
 func formatLine(out io.Writer, args *log.FormatterArgs) (int, error) {
--- /dev/null
+++ b/lib/daemon/reload.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// reloadPeriod is how often the settings file is compared with what was read.
+const reloadPeriod = time.Second
+
+// WatchSettings calls reload when SIGHUP arrives and when the content of the
+// file at path has changed, until ctx ends. Settings that cannot be read are
+// reported and change nothing.
+func WatchSettings(ctx context.Context, path string, logger *log.Logger, reload func() error) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	held, _ := os.ReadFile(path)
+	ticker := time.NewTicker(reloadPeriod)
+	defer ticker.Stop()
+	for {
+		why := "file changed"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			why = "signal"
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(path)
+		if why != "signal" && (err != nil || bytes.Equal(data, held)) {
+			continue
+		}
+		held = data
+		err = reload()
+		e := logger.Info()
+		if err != nil {
+			e = logger.Warn()
+		}
+		e.Str("event", "settingsReloaded").Str("why", why).Err(err).Msg("")
+	}
+}
--- a/lib/link/code.go
+++ b/lib/link/code.go
@@ -55,6 +55,16 @@
 	return addr
 }
 
+// LeaderOf returns the leader that a NotLeader error names; ok is false if the
+// error is another one or names none.
+func LeaderOf(err error) (addr netip.AddrPort, ok bool) {
+	if CodeOf(err) != CodeNotLeader {
+		return netip.AddrPort{}, false
+	}
+	addr = leaderOf(err)
+	return addr, addr.IsValid()
+}
+
 // DialError means that no connection was made, so that the peer got nothing.
 type DialError struct {
 	Addr netip.AddrPort
--- /dev/null
+++ b/lib/relay/event.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// ErrTorn means that a stream ended in the middle of an event.
+var ErrTorn = errors.New("stream ended within an event")
+
+// Event is one whole event of a text/event-stream.
+type Event struct {
+	// Raw holds the event with the empty line that ends it.
+	Raw []byte
+	// ID is the number in its id field; HasID is false if it has none.
+	ID    uint64
+	HasID bool
+}
+
+// EventReader splits a stream into whole events.
+type EventReader struct {
+	r *bufio.Reader
+}
+
+// NewEventReader returns a reader of the events of r.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, 4<<10)}
+}
+
+// Next returns the next whole event. It returns io.EOF at the end of the stream
+// and ErrTorn if the stream ends within an event.
+func (e *EventReader) Next() (Event, error) {
+	var ev Event
+	for {
+		line, err := e.r.ReadSlice('\n')
+		ev.Raw = append(ev.Raw, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			if len(ev.Raw) > maxEvent {
+				return Event{}, fmt.Errorf("event has more than %d bytes", maxEvent)
+			}
+			continue
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(ev.Raw)) > 0:
+			return Event{}, ErrTorn
+		case err != nil:
+			return Event{}, err
+		}
+		start := bytes.LastIndexByte(ev.Raw[:len(ev.Raw)-1], '\n') + 1
+		field := bytes.TrimRight(ev.Raw[start:], "\r\n")
+		if len(field) == 0 {
+			if len(bytes.TrimSpace(ev.Raw)) == 0 {
+				// An empty line before the first field stays with the event that follows.
+				continue
+			}
+			return ev, nil
+		}
+		if v, ok := bytes.CutPrefix(field, []byte("id:")); ok {
+			if n, err := strconv.ParseUint(string(bytes.TrimSpace(v)), 10, 64); err == nil {
+				ev.ID, ev.HasID = n, true
+			}
+		}
+		if len(ev.Raw) > maxEvent {
+			return Event{}, fmt.Errorf("event has more than %d bytes", maxEvent)
+		}
+	}
+}
--- /dev/null
+++ b/lib/scale/planner.go
@@ -0,0 +1,256 @@
+package scale
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"bulrushpath.example/lib/site"
+)
+
+const (
+	// growAt is the work per copy, in engine seconds per second, above which a
+	// model gets another copy.
+	growAt = 0.30
+	// richer is how many times the work per copy of a growing model must exceed
+	// what the victim's remaining copies would carry.
+	richer = 2.0
+	// settle is how long a copy stays before it may make way.
+	settle = 4 * time.Second
+	// storeBurst is the number of loads from the weight store that may begin at once.
+	storeBurst = 3
+	// warmUnload is the time an unload is expected to take.
+	warmUnload = 500 * time.Millisecond
+)
+
+// Demand is what entry instances see of one model, summed.
+type Demand struct {
+	// Work is the engine time that its requests need, in seconds per second.
+	Work float64
+	// Waiting is the number of requests that wait because no target holds it.
+	Waiting int
+}
+
+// View is what the planner decides on.
+type View struct {
+	Now    time.Time
+	Engine *site.Engine
+	// Targets are the live engines of the service.
+	Targets []*Target
+	Demand  map[string]Demand
+}
+
+// Planner decides on model orders for one service. It keeps the permits of the
+// weight store; a new leader's planner starts without any.
+type Planner struct {
+	permits float64
+	refill  time.Time
+}
+
+// Tick decides the model orders to begin now: it sets Target.Order of the targets
+// that it returns. At most one order is under way at a target.
+func (p *Planner) Tick(v View) []*Target {
+	p.refillPermits(v)
+	var out []*Target
+	for range v.Targets {
+		t := p.next(v)
+		if t == nil {
+			break
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+func (p *Planner) refillPermits(v View) {
+	if !p.refill.IsZero() {
+		p.permits += v.Now.Sub(p.refill).Seconds() * v.Engine.LoadsPerSecond
+	}
+	p.permits = min(p.permits, storeBurst)
+	p.refill = v.Now
+}
+
+// need is one model with what it has and what it wants.
+type need struct {
+	model *site.Model
+	// copies counts the resident copies that stay, loading those under way.
+	copies, loading int
+	demand          Demand
+	zones           map[string]int
+}
+
+// perCopy is the work that each of n copies carries.
+func (n *need) perCopy(copies int) float64 {
+	if copies <= 0 {
+		// A model without a copy is needed more than any that has one.
+		return n.demand.Work + 1000 + 1000*float64(min(n.demand.Waiting, 1))
+	}
+	return n.demand.Work / float64(copies)
+}
+
+func needs(v View) []*need {
+	byName := make(map[string]*need, len(v.Engine.Models))
+	out := make([]*need, 0, len(v.Engine.Models))
+	for i := range v.Engine.Models {
+		m := &v.Engine.Models[i]
+		n := &need{model: m, demand: v.Demand[m.Name], zones: make(map[string]int)}
+		byName[m.Name] = n
+		out = append(out, n)
+	}
+	for _, t := range v.Targets {
+		for name, c := range t.Copies {
+			if n := byName[name]; n != nil && c.LeavingSince.IsZero() {
+				n.copies++
+				n.zones[t.Zone]++
+			}
+		}
+		if t.Order != nil && t.Order.Op == Load && t.Copies[t.Order.Model] == nil {
+			if n := byName[t.Order.Model]; n != nil {
+				n.loading++
+				n.zones[t.Zone]++
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *need) int {
+		x, y := a.perCopy(a.copies+a.loading), b.perCopy(b.copies+b.loading)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return strings.Compare(a.model.Name, b.model.Name)
+	})
+	return out
+}
+
+// next finds the most urgent order that is possible now and begins it.
+func (p *Planner) next(v View) *Target {
+	list := needs(v)
+	for _, n := range list {
+		if n.copies+n.loading > 0 && n.perCopy(n.copies+n.loading) < growAt {
+			return nil
+		}
+		if t := p.load(v, n); t != nil {
+			return t
+		}
+		if t := makeRoom(v, list, n); t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
+// load begins a load of the model at the best target with room for it.
+func (p *Planner) load(v View, n *need) *Target {
+	var best *Target
+	bestRank := 0.0
+	for _, t := range v.Targets {
+		if !free(v, t, n.model) || t.UsedMB(v.Engine)+n.model.MB > v.Engine.MemoryMB {
+			continue
+		}
+		if !t.Cached[n.model.Name] && p.permits < 1 {
+			continue
+		}
+		if r := rank(v, t, n); best == nil || r < bestRank {
+			best, bestRank = t, r
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	took := n.model.Load
+	reason := "store"
+	if best.Cached[n.model.Name] {
+		took, reason = n.model.Disk, "disk"
+	} else {
+		p.permits--
+	}
+	begin(v, best, Order{Op: Load, Model: n.model.Name, Reason: reason}, took)
+	return best
+}
+
+// free says that a model order for m may begin at t.
+func free(v View, t *Target, m *site.Model) bool {
+	return t.Order == nil && t.Copies[m.Name] == nil && !v.Now.Before(t.Avoid)
+}
+
+// rank prefers targets that have the weights outside their accelerator, zones
+// without a copy, and targets whose other models have little work.
+func rank(v View, t *Target, n *need) float64 {
+	r := float64(n.zones[t.Zone]) * 0.2
+	if !t.Cached[n.model.Name] {
+		r += n.model.Load.Seconds()
+	}
+	for name := range t.Copies {
+		r += v.Demand[name].Work * 0.5
+	}
+	return r
+}
+
+func begin(v View, t *Target, o Order, took time.Duration) {
+	t.Order, t.Begun, t.ReadyAt = &o, v.Now, v.Now.Add(took)
+	t.Accepted, t.Sent = time.Time{}, false
+}
+
+// makeRoom begins the unload of a copy that is needed less, at a target that
+// then has room for the model.
+func makeRoom(v View, list []*need, n *need) *Target {
+	if waitsForRoom(v, n) {
+		return nil
+	}
+	want := n.perCopy(n.copies + n.loading)
+	var best *Target
+	victim, bestCost := "", 0.0
+	for _, t := range v.Targets {
+		if !free(v, t, n.model) {
+			continue
+		}
+		used := t.UsedMB(v.Engine) + n.model.MB - v.Engine.MemoryMB
+		for name, c := range t.Copies {
+			x := find(list, name)
+			if !c.LeavingSince.IsZero() || v.Now.Sub(c.Since) < settle || sizeOf(v.Engine, name) < used {
+				continue
+			}
+			cost := 0.0
+			if x != nil {
+				if x.copies < 2 {
+					continue
+				}
+				cost = x.perCopy(x.copies - 1)
+			}
+			if cost*richer > want {
+				continue
+			}
+			cost += rank(v, t, n) * 0.01
+			if best == nil || cost < bestCost || cost == bestCost && name < victim {
+				best, victim, bestCost = t, name, cost
+			}
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.Copies[victim].LeavingSince = v.Now
+	begin(v, best, Order{Op: Unload, Model: victim, Reason: "room for " + n.model.Name}, warmUnload)
+	return best
+}
+
+// waitsForRoom says that an unload for this model is under way already.
+func waitsForRoom(v View, n *need) bool {
+	for _, t := range v.Targets {
+		if t.Order != nil && t.Order.Op == Unload && t.Order.Reason == "room for "+n.model.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func find(list []*need, name string) *need {
+	for _, n := range list {
+		if n.model.Name == name {
+			return n
+		}
+	}
+	return nil
+}
--- a/lib/state/state.go
+++ b/lib/state/state.go
@@ -26,6 +26,7 @@
 	now int64
 
 	config       configTable
+	document     documentTable
 	claims       claimTable
 	suspects     suspectTable
 	incarnations incarnationTable
@@ -90,6 +91,10 @@
 		var r *wire.IntendReply
 		r, err = m.incarnations.intend(m.now, body.Intend)
 		reply.Body = &wire.CommandReply_Intend{Intend: r}
+	case *wire.Command_Post:
+		var r *wire.PostReply
+		r, err = m.document.post(body.Post)
+		reply.Body = &wire.CommandReply_Post{Post: r}
 	case *wire.Command_Sweep:
 		reply.Body = &wire.CommandReply_Sweep{Sweep: m.sweep(body.Sweep)}
 	default:
@@ -119,6 +124,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	s := &wire.StateSnapshot{Format: snapshotFormat, Applied: m.applied, NowUnixMillis: m.now}
 	m.config.save(s)
+	s.Document = m.document.current
 	m.claims.save(s)
 	m.suspects.save(s)
 	m.incarnations.save(s)
@@ -145,6 +151,7 @@
 func (m *Machine) load(s *wire.StateSnapshot) {
 	m.applied, m.now = s.GetApplied(), s.GetNowUnixMillis()
 	m.config.load(s)
+	m.document.current = s.GetDocument()
 	m.claims.load(s)
 	m.suspects.load(s)
 	m.incarnations.load(s)
--- /dev/null
+++ b/lib/steer/steer.go
@@ -0,0 +1,332 @@
+// Package steer chooses targets for foreign requests: by the work under way at
+// each, by the prompts that engines are likely to have cached, and by what an
+// entry instance has seen of their failures. It is pure.
+package steer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// prefillPerMilli is the number of prompt tokens that an engine reads in a
+	// millisecond, before a target's own pace is known.
+	prefillPerMilli = 40.0
+	// runningCost is the delay that each running request adds to a new one.
+	runningCost = 500 * time.Microsecond
+	// priorShare is the share of a prompt that the first target by rendezvous hash
+	// is assumed to have cached, because other entry instances send it there too.
+	priorShare = 0.5
+	// adapterCost is the time to fetch an adapter that a target lacks.
+	adapterCost = 30 * time.Millisecond
+	// zoneCost is the price of leaving the zone, as time.
+	zoneCost = 2 * time.Millisecond
+	// fullCost is added to a target whose slots or memory are taken.
+	fullCost = 2 * time.Second
+	// errorCost is added in proportion to the failing share of recent requests.
+	errorCost = 3 * time.Second
+	// avoidMin and avoidMax bound how long a target is left alone after a failure
+	// to reach it.
+	avoidMin = 500 * time.Millisecond
+	avoidMax = 4 * time.Second
+	// errorHalf is the half-life of what is remembered of failures and of slowness.
+	errorHalf = 3 * time.Second
+)
+
+// Request is what the choice of a target depends on.
+type Request struct {
+	// Model is empty for a plain service.
+	Model, Adapter string
+	// Parts are the parts of the prompt in order.
+	Parts []Part
+	// PromptTokens is the length of the prompt, OutputTokens the expected output.
+	PromptTokens, OutputTokens int
+}
+
+// Part is one part of a prompt, which requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// chain returns a key for each beginning of the prompt, for one model and adapter.
+func (r *Request) chain() []uint64 {
+	out := make([]uint64, len(r.Parts))
+	key := xxhash.Sum64String(r.Model + "/" + r.Adapter)
+	for i, p := range r.Parts {
+		key = mix(key, p.ID)
+		out[i] = key
+	}
+	return out
+}
+
+func mix(a, b uint64) uint64 {
+	x := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Model is a model at a target.
+type Model struct {
+	Adapters map[string]bool
+	// ReadyAt is when its load is expected to end; zero if it is resident.
+	ReadyAt time.Time
+	// Leaving says that the model is about to be unloaded.
+	Leaving bool
+}
+
+// Load is the work under way at a target.
+type Load struct {
+	// Running is the number of requests.
+	Running int
+	// PromptTokens counts the tokens of prompts whose first output is awaited.
+	PromptTokens int
+	// MemoryTokens counts what running requests occupy.
+	MemoryTokens int
+}
+
+// Target is one incarnation of a target, as an entry instance knows it.
+type Target struct {
+	ID      string
+	Addr    netip.AddrPort
+	Zone    string
+	Service string
+	Born    time.Time
+	// Ready is false once the target leaves.
+	Ready bool
+	Slots int
+	// Models is nil for a plain service.
+	Models map[string]*Model
+
+	// Own is what this entry instance has under way there, Others what the other
+	// ones had at their last report.
+	Own, Others Load
+
+	cache cache
+	// avoidUntil and avoidFor implement the back-off after failures to reach it.
+	avoidUntil time.Time
+	avoidFor   time.Duration
+	// failing is the decaying share of failed requests, slow the decaying ratio of
+	// measured to expected time; both as of seenAt.
+	failing, slow float64
+	seenAt        time.Time
+}
+
+// Site is what the choice depends on besides the targets.
+type Site struct {
+	// Zone is that of the entry instance.
+	Zone string
+	// KVTokens is the memory of an engine in tokens; 0 for plain services.
+	KVTokens int
+}
+
+// Choice is a chosen target with what decided.
+type Choice struct {
+	Target *Target
+	// Wait is the expected time to the first output.
+	Wait time.Duration
+	// MissTokens is the part of the prompt that the target must read.
+	MissTokens int
+	// NeedsAdapter says that the adapter must be fetched first.
+	NeedsAdapter bool
+	// Candidates is the number of targets that could have been chosen.
+	Candidates int
+}
+
+// Pick returns the target with the shortest expected wait; Target is nil if none
+// can take the request now. skip leaves out targets that were tried.
+func Pick(now time.Time, s Site, r *Request, targets []*Target, skip func(*Target) bool) Choice {
+	chain := r.chain()
+	first := rendezvous(r, chain, targets)
+	var best Choice
+	n := 0
+	for pass := range 2 {
+		for _, t := range targets {
+			if !t.holds(r.Model) || skip(t) || pass == 0 && now.Before(t.avoidUntil) {
+				continue
+			}
+			n++
+			c := t.estimate(now, s, r, chain, t == first)
+			if best.Target == nil || c.Wait < best.Wait || c.Wait == best.Wait && tie(t, best.Target, now) {
+				best = c
+			}
+		}
+		// Targets that failed are tried only if there is no other.
+		if best.Target != nil {
+			break
+		}
+	}
+	best.Candidates = n
+	return best
+}
+
+// tie breaks equal waits at random, so that entry instances do not act alike.
+func tie(a, b *Target, now time.Time) bool {
+	x := uint64(now.UnixNano())
+	return mix(xxhash.Sum64String(a.ID), x) > mix(xxhash.Sum64String(b.ID), x)
+}
+
+// holds says that the target takes requests for the model.
+func (t *Target) holds(model string) bool {
+	if !t.Ready {
+		return false
+	}
+	if model == "" {
+		return true
+	}
+	m := t.Models[model]
+	return m != nil && m.ReadyAt.IsZero() && !m.Leaving
+}
+
+// rendezvous returns the target that all entry instances prefer for this prompt.
+func rendezvous(r *Request, chain []uint64, targets []*Target) *Target {
+	if len(chain) == 0 {
+		return nil
+	}
+	// The last part belongs to one request or session.
+	key := chain[max(len(chain)-2, 0)]
+	var best *Target
+	var rank uint64
+	for _, t := range targets {
+		if !t.holds(r.Model) {
+			continue
+		}
+		if x := mix(key, xxhash.Sum64String(t.ID)); best == nil || x > rank {
+			best, rank = t, x
+		}
+	}
+	return best
+}
+
+func (t *Target) estimate(now time.Time, s Site, r *Request, chain []uint64, preferred bool) Choice {
+	c := Choice{Target: t}
+	running := t.Own.Running + t.Others.Running
+	wait := 0.0
+	if r.Model != "" {
+		hit := t.cache.hit(r, chain)
+		c.MissTokens = max(r.PromptTokens-hit, 0)
+		miss := float64(c.MissTokens)
+		if preferred && hit == 0 {
+			miss -= priorShare * float64(sharedTokens(r))
+		}
+		pending := float64(t.Own.PromptTokens + t.Others.PromptTokens)
+		wait = (miss + pending) / prefillPerMilli * float64(time.Millisecond)
+		wait += float64(running) * float64(runningCost)
+		m := t.Models[r.Model]
+		if r.Adapter != "" && !m.Adapters[r.Adapter] {
+			c.NeedsAdapter = true
+			wait += float64(adapterCost)
+		}
+		used := t.Own.MemoryTokens + t.Others.MemoryTokens + c.MissTokens + r.OutputTokens
+		if s.KVTokens > 0 && used > s.KVTokens*9/10 {
+			wait += float64(fullCost)
+		}
+	} else {
+		wait = float64(running) * float64(10*time.Millisecond)
+	}
+	failing, slow := t.trouble(now)
+	wait *= max(slow, 1)
+	if t.Slots > 0 && running >= t.Slots {
+		wait += float64(fullCost) * float64(running-t.Slots+1) / float64(t.Slots)
+	}
+	wait += failing * float64(errorCost)
+	if t.Zone != s.Zone {
+		wait += float64(zoneCost)
+	}
+	c.Wait = time.Duration(max(wait, 0))
+	return c
+}
+
+// sharedTokens counts the prompt without its last part.
+func sharedTokens(r *Request) int {
+	n := 0
+	for _, p := range r.Parts[:max(len(r.Parts)-1, 0)] {
+		n += p.Tokens
+	}
+	return n
+}
+
+// trouble returns the decayed share of failures and ratio of slowness.
+func (t *Target) trouble(now time.Time) (failing, slow float64) {
+	d := decay(now.Sub(t.seenAt))
+	return t.failing * d, 1 + (max(t.slow, 1)-1)*d
+}
+
+func (t *Target) learn(now time.Time, failed bool, slow float64) {
+	const weight = 0.3
+	f, s := t.trouble(now)
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	t.failing = f + weight*(x-f)
+	if slow > 0 {
+		s += weight * (min(slow, 10) - s)
+	}
+	t.slow, t.seenAt = s, now
+}
+
+// Begin notes that the request goes to the target, with what Pick expected.
+func (t *Target) Begin(r *Request, s Site, miss int) {
+	t.Own.Running++
+	t.Own.PromptTokens += miss
+	t.Own.MemoryTokens += r.PromptTokens + r.OutputTokens
+	t.cache.add(r, r.chain(), s.KVTokens*6/10)
+}
+
+// First notes the first output after the given time.
+func (t *Target) First(now time.Time, took, expected time.Duration, miss int) {
+	t.Own.PromptTokens -= miss
+	t.avoidFor = 0
+	t.learn(now, false, float64(took+20*time.Millisecond)/float64(expected+40*time.Millisecond))
+}
+
+// End notes that the request is over; started says that First was called.
+func (t *Target) End(r *Request, miss int, started bool) {
+	t.Own.Running--
+	t.Own.MemoryTokens -= r.PromptTokens + r.OutputTokens
+	if !started {
+		t.Own.PromptTokens -= miss
+	}
+}
+
+// Failed notes a failed request; unreached says that no connection was made or
+// nothing came back, so that the target is left alone for a while.
+func (t *Target) Failed(now time.Time, unreached bool) {
+	t.learn(now, true, 0)
+	if !unreached {
+		return
+	}
+	t.avoidFor = min(max(t.avoidFor*2, avoidMin), avoidMax)
+	t.avoidUntil = now.Add(t.avoidFor)
+}
+
+// LoadingUntil returns when the first load of the model is expected to end; ok
+// is false if no target loads it.
+func LoadingUntil(model string, targets []*Target) (at time.Time, ok bool) {
+	for _, t := range targets {
+		m := t.Models[model]
+		if !t.Ready || m == nil || m.ReadyAt.IsZero() {
+			continue
+		}
+		if !ok || m.ReadyAt.Before(at) {
+			at, ok = m.ReadyAt, true
+		}
+	}
+	return at, ok
+}
+
+// Resident says that some target takes requests for the model.
+func Resident(model string, targets []*Target) bool {
+	for _, t := range targets {
+		if t.holds(model) {
+			return true
+		}
+	}
+	return false
+}
