--- a/control/group.go
+++ b/control/group.go
@@ -30,6 +30,8 @@
 		ID:              c.ID,
 		Listen:          c.Listen,
 		Peers:           c.peers(),
+		Voters:          c.Voters,
+		Join:            c.Join,
 		DataDir:         c.DataDir,
 		ElectionTimeout: c.ElectionTimeout,
 		Heartbeat:       c.Heartbeat,
--- a/control/run.go
+++ b/control/run.go
@@ -31,9 +31,11 @@
 	}
 	tasks := svc.tasks(c)
 	register := svc.register
+	stopFleet := func() {}
 	if o.fleet {
 		f := newFleet(svc, p.Log, p.Scope, p.Common.Name, &o)
 		defer func() { _ = f.Close() }()
+		stopFleet = f.stop
 		tasks = append(tasks, daemon.Task{Name: "planFleet", Period: fleetPeriod, Run: func(context.Context) error {
 			f.tick(time.Now())
 			return nil
@@ -62,6 +64,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { daemon.RunTasks(taskCtx, p.Log, tasks) })
 	<-ctx.Done()
+	stopFleet()
 	err = svc.shutdown(c.ShutdownTimeout)
 	stopTasks()
 	wg.Wait()
@@ -88,15 +91,14 @@
 	return s.group.Exchange(ctx, m)
 }
 
-// shutdown refuses new calls, lets those in progress end, hands the leadership
-// over and leaves the group's log in order.
-func (s *service) shutdown(timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+// idleWait bounds the wait for calls in progress before the leadership is handed
+// over: until then no instance takes new calls.
+const idleWait = 400 * time.Millisecond
+
+// awaitIdle waits until no call is in progress and returns how many are left.
+func (s *service) awaitIdle(limit time.Duration) (left int) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	s.news.ring()
 	// The lock orders the broadcast after a check of ctx that is about to wait.
 	stop := context.AfterFunc(ctx, func() {
 		s.mu.Lock()
@@ -105,12 +107,23 @@
 	})
 	defer stop()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for s.active > 0 && ctx.Err() == nil {
 		s.idle.Wait()
 	}
-	left := s.active
+	return s.active
+}
+
+// shutdown refuses new calls, lets those in progress end, hands the leadership
+// over and leaves the group's log in order.
+func (s *service) shutdown(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	s.mu.Lock()
+	s.draining = true
 	s.mu.Unlock()
-	if left > 0 {
+	s.news.ring()
+	if left := s.awaitIdle(min(timeout/2, idleWait)); left > 0 {
 		s.log.Warn().Str("event", "callsCutOff").Int("calls", left).Msg("")
 	}
 	if _, ok := s.group.Leading(); ok {
--- a/control/settings.go
+++ b/control/settings.go
@@ -24,6 +24,11 @@
 	Listen netip.AddrPort `ini:"listen"`
 	// Peers lists all instances of the group, this one included, as id=address.
 	Peers []Peer `ini:"peers"`
+	// Join says that this instance joins the group that the others belong to, and
+	// never forms one; Peers may then name only some of its members.
+	Join bool `ini:"join"`
+	// Voters is the number of voters that the group is to have; default all Peers.
+	Voters int `ini:"voters"`
 	// DataDir holds the log and the snapshots of this instance, and nothing else.
 	DataDir string `ini:"dataDir"`
 	// ElectionTimeout is the silence after which a new leader is elected, and
@@ -132,7 +137,7 @@
 	if !seen[c.ID] {
 		out.Addf("control.peers", "this instance, %q, is not listed", c.ID)
 	}
-	if n := len(c.Peers); n > 0 && n%2 == 0 {
+	if n := len(c.Peers); n > 0 && n%2 == 0 && !c.Join {
 		out.Addf("control.peers", "%d instances survive no more losses than %d; want an odd number", n, n-1)
 	}
 }
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -20,6 +20,9 @@
 const (
 	// defaultDeadline bounds a request whose client names no deadline.
 	defaultDeadline = 30 * time.Second
+	// drainRetry is when a client may come back that an instance refused because it
+	// stops; another instance serves it at once.
+	drainRetry = 10 * time.Millisecond
 	// defaultBody bounds a body while the configuration names no limit, in bytes.
 	defaultBody = 4 << 20
 )
@@ -106,6 +109,10 @@
 	if c.id == "" {
 		return &failure{status: http.StatusBadRequest, reason: "no request id"}
 	}
+	if c.route.Kind == site.Stream && c.g.draining.Load() {
+		// A stream may last longer than the time until this process is killed.
+		return &failure{status: http.StatusServiceUnavailable, reason: "shutting down", retryAfter: drainRetry}
+	}
 	if f := c.readDeadline(); f != nil {
 		return f
 	}
--- a/lib/quorum/call.go
+++ b/lib/quorum/call.go
@@ -193,8 +193,9 @@
 
 // dispatch sends a request to its member and hands the reply to the core.
 func (n *Node) dispatch(m *wire.QuorumMessage) {
-	count, addr := n.inFlight[m.To], n.addrOf(m.To)
-	if count == nil || !addr.IsValid() {
+	p := n.peer(m.To)
+	addr, count := p.addr.Load(), &p.inFlight
+	if addr == nil || !addr.IsValid() {
 		return
 	}
 	if count.Add(1) > outstanding {
@@ -206,7 +207,7 @@
 		defer count.Add(-1)
 		ctx, cancel := context.WithTimeout(n.ctx, n.callTimeout(m))
 		defer cancel()
-		reply, err := wire.NewDRPCQuorumClient(n.pool.Conn(ctx, addr)).Exchange(ctx, m)
+		reply, err := wire.NewDRPCQuorumClient(n.pool.Conn(ctx, *addr)).Exchange(ctx, m)
 		if err != nil {
 			n.log.Debug().Str("event", "exchangeFailed").Str("peer", m.To).
 				Str("kind", m.Kind.String()).Err(err).Msg("")
@@ -228,8 +229,20 @@
 	}
 }
 
-// addrOf returns the address of a member; the settings take precedence over
-// the membership, because a member may have moved.
-func (n *Node) addrOf(id string) netip.AddrPort {
-	return n.settings.Peers[id]
+// peer returns the record of another member.
+func (n *Node) peer(id string) *peer {
+	if p, ok := n.peers.Load(id); ok {
+		return p.(*peer)
+	}
+	p, _ := n.peers.LoadOrStore(id, &peer{})
+	return p.(*peer)
+}
+
+// locate notes the addresses of the members that messages go to; it runs on the
+// loop goroutine, which alone knows them.
+func (n *Node) locate(messages []*wire.QuorumMessage) {
+	for _, m := range messages {
+		addr := n.core.addr(m.To)
+		n.peer(m.To).addr.Store(&addr)
+	}
 }
--- a/lib/quorum/core.go
+++ b/lib/quorum/core.go
@@ -39,6 +39,10 @@
 	id    string
 	disk  []byte
 	peers map[string]netip.AddrPort
+	// voters is the number of voters that the group is to have.
+	voters int
+	// join says that this member never forms a group, only joins one.
+	join bool
 	// electionTimeout is the longest time that a leader goes without a majority.
 	electionTimeout time.Duration
 	heartbeat       time.Duration
@@ -117,7 +121,9 @@
 	group []byte
 	// peers are the ids of the initial members in the peer's settings.
 	peers []string
-	at    time.Time
+	// addr is invalid unless the peer introduced itself.
+	addr netip.AddrPort
+	at   time.Time
 }
 
 // core is the consensus protocol of one member: messages and time in; messages,
@@ -157,16 +163,20 @@
 	stash    []*wire.QuorumMessage
 	incoming *incoming
 
-	lead     *leadership
-	seen     map[string]sighting
-	helloAt  time.Time
+	lead    *leadership
+	seen    map[string]sighting
+	helloAt time.Time
+	// joinAt is when this member introduces itself next, if it hears no leader.
+	joinAt time.Time
+	// learned holds the addresses of members that other members named.
+	learned  map[string]netip.AddrPort
 	sequence uint64
 	out      output
 }
 
 // newCore returns a core that continues from durable state.
 func newCore(cfg coreConfig, now time.Time, hard hardState, snap *snapshot, entries []*wire.LogEntry) *core {
-	c := &core{cfg: cfg, now: now, hard: hard, heard: now, seen: map[string]sighting{}}
+	c := &core{cfg: cfg, now: now, hard: hard, heard: now, seen: map[string]sighting{}, learned: map[string]netip.AddrPort{}}
 	if snap != nil {
 		c.snap = snap
 		c.log.reset(snap.index, snap.term, snap.millis)
@@ -246,6 +256,7 @@
 		c.tickLeader()
 		return
 	}
+	c.introduce()
 	if c.empty() {
 		c.tickEmpty()
 		return
@@ -271,6 +282,7 @@
 	r := c.message(m.Kind, m.From, m.FromDisk)
 	r.Reply, r.Sequence, r.Round = true, m.Sequence, m.Round
 	if m.To == c.cfg.id && c.sameGroup(m) && contiguous(m) {
+		c.meet(m)
 		c.adopt(m)
 		c.stepRequest(m, r)
 	}
@@ -278,6 +290,9 @@
 		r.Term = c.hard.term
 	}
 	r.Empty, r.Group = c.empty(), c.hard.group
+	if m.Kind == wire.MessageKind_MESSAGE_KIND_HELLO && !r.Empty {
+		r.Membership = proto.CloneOf(c.members.current())
+	}
 	if r.Empty {
 		r.Membership = &wire.Membership{}
 		for _, id := range c.peerIDs() {
@@ -327,10 +342,11 @@
 	if m.To != c.cfg.id || !bytes.Equal(m.ToDisk, c.cfg.disk) {
 		return
 	}
-	saw := sighting{disk: m.FromDisk, empty: m.Empty, group: m.Group, at: c.now}
+	saw := sighting{disk: m.FromDisk, empty: m.Empty, group: m.Group, addr: c.seen[m.From].addr, at: c.now}
 	for _, x := range m.Membership.GetMembers() {
 		saw.peers = append(saw.peers, x.Id)
 	}
+	c.learn(m.Membership)
 	c.seen[m.From] = saw
 	if !names(c.members.current(), m.From, m.FromDisk) || !c.sameGroup(m) || m.Empty {
 		return
@@ -413,7 +429,7 @@
 // two members that form groups at once could name different disks of a third.
 func (c *core) tickEmpty() {
 	ids := c.peerIDs()
-	if len(ids) == 0 || ids[0] != c.cfg.id || c.blocked {
+	if len(ids) == 0 || ids[0] != c.cfg.id || c.blocked || c.cfg.join {
 		return
 	}
 	if c.allEmpty(ids) {
@@ -494,6 +510,7 @@
 func (c *core) sendHello(id string) {
 	m := c.request(wire.MessageKind_MESSAGE_KIND_HELLO, id, nil)
 	m.Empty, m.Entries = c.empty(), c.firstEntry()
+	m.FromAddress = c.cfg.peers[c.cfg.id].String()
 	c.out.messages = append(c.out.messages, m)
 }
 
--- /dev/null
+++ b/lib/quorum/join.go
@@ -0,0 +1,150 @@
+package quorum
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"bulrushpath.example/lib/wire"
+)
+
+const (
+	// introduceEvery is the number of heartbeats between two introductions.
+	introduceEvery = 5
+	// lostAfter is the number of election timeouts without a leader after which a
+	// member introduces itself: it may have been replaced while it was away.
+	lostAfter = 3
+	// replaceAfter is the number of election timeouts of silence after which a voter
+	// makes way for a learner that is complete.
+	replaceAfter = 3
+	// forgetAfter is the number of election timeouts of silence after which a learner
+	// is removed.
+	forgetAfter = 8
+	// maxLearners bounds the learners at a time.
+	maxLearners = 2
+)
+
+// introduce tells the known members of this one, if it belongs to no group or may
+// have been removed from it.
+func (c *core) introduce() {
+	lost := !c.empty() && c.now.Sub(c.heard) >= lostAfter*c.cfg.electionTimeout
+	if !lost && !(c.empty() && c.cfg.join) || c.now.Before(c.joinAt) || c.blocked {
+		return
+	}
+	c.joinAt = c.now.Add(introduceEvery * c.cfg.heartbeat)
+	for _, id := range c.known() {
+		if id != c.cfg.id {
+			c.sendHello(id)
+		}
+	}
+}
+
+// known returns the ids of all members that this one has heard of, in order.
+func (c *core) known() []string {
+	ids := c.peerIDs()
+	for _, m := range c.members.current().Members {
+		ids = append(ids, m.Id)
+	}
+	for id := range c.learned {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// meet notes a member that introduces itself.
+func (c *core) meet(m *wire.QuorumMessage) {
+	if m.Kind != wire.MessageKind_MESSAGE_KIND_HELLO || names(c.members.current(), m.From, m.FromDisk) {
+		return
+	}
+	addr, err := netip.ParseAddrPort(m.FromAddress)
+	if err != nil {
+		return
+	}
+	c.seen[m.From] = sighting{
+		disk: m.FromDisk, empty: m.Empty, group: m.Group, peers: c.seen[m.From].peers, addr: addr, at: c.now,
+	}
+}
+
+// learn notes the addresses of the members that another member names.
+func (c *core) learn(m *wire.Membership) {
+	for _, x := range m.GetMembers() {
+		if addr, err := netip.ParseAddrPort(x.Address); err == nil {
+			c.learned[x.Id] = addr
+		}
+	}
+}
+
+// addr returns the address of a member; the settings take precedence over what
+// the members say, because a member may have moved.
+func (c *core) addr(id string) netip.AddrPort {
+	if addr, ok := c.cfg.peers[id]; ok {
+		return addr
+	}
+	if m := findMember(c.members.current(), id); m != nil {
+		if addr, err := netip.ParseAddrPort(m.Address); err == nil {
+			return addr
+		}
+	}
+	if s, ok := c.seen[id]; ok && s.addr.IsValid() {
+		return s.addr
+	}
+	return c.learned[id]
+}
+
+// counts returns the number of voters and of learners.
+func counts(m *wire.Membership) (voters, learners int) {
+	for _, x := range m.Members {
+		if x.Voter {
+			voters++
+		} else {
+			learners++
+		}
+	}
+	return voters, learners
+}
+
+// newcomer returns the first member outside the group that may join it now; an
+// empty string if there is none, or no room for it.
+func (c *core) newcomer() string {
+	cur := c.members.current()
+	voters, learners := counts(cur)
+	if learners >= maxLearners || voters+learners >= c.cfg.voters+maxLearners {
+		return ""
+	}
+	ids := make([]string, 0, len(c.seen))
+	for id := range c.seen {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if _, ok := c.usable(id); ok && findMember(cur, id) == nil && c.addr(id).IsValid() {
+			return id
+		}
+	}
+	return ""
+}
+
+// silentFor says that a member has not answered for n election timeouts.
+func (c *core) silentFor(m *wire.Member, n int) bool {
+	p := c.lead.peers[m.Id]
+	if p == nil {
+		return false
+	}
+	last := p.ackedAt
+	if c.lead.since.After(last) {
+		last = c.lead.since
+	}
+	return c.now.Sub(last) >= time.Duration(n)*c.cfg.electionTimeout
+}
+
+// replaceable returns a voter that makes way for a complete learner, and a
+// learner that has been silent for long; nil if there is none.
+func (c *core) replaceable(complete bool) *wire.Member {
+	for _, m := range c.members.current().Members {
+		if complete && m.Voter && c.silentFor(m, replaceAfter) || !m.Voter && c.silentFor(m, forgetAfter) {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/quorum/join_test.go
@@ -0,0 +1,128 @@
+package quorum
+
+import (
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// joinGroup starts three members; later ones join with the given seeds.
+func joinGroup(t *testing.T, seeds map[string]netip.AddrPort) *group {
+	return newGroup(t, 3, func(s *Settings) {
+		s.Voters = 3
+		if !strings.HasPrefix(s.ID, "d") {
+			return
+		}
+		s.Join = true
+		own := s.Peers[s.ID]
+		s.Peers = map[string]netip.AddrPort{s.ID: own}
+		for id, addr := range seeds {
+			s.Peers[id] = addr
+		}
+	})
+}
+
+// add starts a member with an empty disk that is to join the group.
+func (g *group) add(id string) *member {
+	g.tb.Helper()
+	m := &member{id: id, addr: freeAddr(g.tb), dir: filepath.Join(g.tb.TempDir(), id)}
+	g.mu.Lock()
+	g.members = append(g.members, m)
+	g.mu.Unlock()
+	g.start(m)
+	return m
+}
+
+// votersAre says that the leader's voters are exactly these members.
+func (g *group) votersAre(ids ...string) bool {
+	var got []string
+	for _, s := range g.leader().node.Members() {
+		if s.GetVoter() {
+			got = append(got, s.GetId())
+		}
+	}
+	return fmt.Sprint(got) == fmt.Sprint(ids)
+}
+
+// Guards against a group that stays at two of three after a member was replaced
+// by an empty one at another address, and so stops at the next loss. The seeds of
+// the new member name one live member only, which need not lead.
+func TestReplacedAtAnotherAddress(t *testing.T) {
+	seeds := map[string]netip.AddrPort{}
+	g := joinGroup(t, seeds)
+	g.propose("early")
+	seeds["c2"] = g.members[2].addr
+	for round := range 2 {
+		lost := g.members[round]
+		g.kill(lost)
+		id := fmt.Sprintf("d%d", round)
+		g.add(id)
+		want := []string{"c2", "d0", "d1"}
+		if round == 0 {
+			want = []string{"c1", "c2", "d0"}
+		}
+		eventually(t, "voters "+fmt.Sprint(want), func() bool { return g.votersAre(want...) })
+		g.propose(fmt.Sprint("replaced", round))
+	}
+	g.kill(g.members[2])
+	g.propose("late")
+	for _, m := range g.members[3:] {
+		g.applied(m, "early")
+		g.applied(m, "late")
+	}
+}
+
+// Guards against new members that form a group of their own beside the one they
+// were meant to join, and so forget what that one has acknowledged.
+func TestJoiningMembersFormNoGroup(t *testing.T) {
+	seeds := map[string]netip.AddrPort{}
+	g := joinGroup(t, seeds)
+	g.propose("early")
+	for _, m := range g.members {
+		m.cut.Store(true)
+	}
+	a := &member{id: "d0", addr: freeAddr(t), dir: filepath.Join(t.TempDir(), "d0")}
+	b := &member{id: "d1", addr: freeAddr(t), dir: filepath.Join(t.TempDir(), "d1")}
+	seeds["d0"], seeds["d1"], seeds["c0"] = a.addr, b.addr, g.members[0].addr
+	g.mu.Lock()
+	g.members = append(g.members, a, b)
+	g.mu.Unlock()
+	g.start(a)
+	g.start(b)
+	time.Sleep(time.Second)
+	for _, m := range []*member{a, b} {
+		_, leads := m.node.Leading()
+		assert.Assert(t, !leads)
+		assert.Equal(t, len(m.node.Members()), 0)
+	}
+}
+
+// Guards against a member that was replaced while it was away and comes back: it
+// must not count as a voter twice, and becomes a learner that is ready to step in.
+func TestReplacedMemberReturns(t *testing.T) {
+	seeds := map[string]netip.AddrPort{}
+	g := joinGroup(t, seeds)
+	g.propose("early")
+	seeds["c2"] = g.members[2].addr
+	away := g.members[0]
+	g.kill(away)
+	g.add("d0")
+	eventually(t, "three voters", func() bool { return g.votersAre("c1", "c2", "d0") })
+	g.start(away)
+	eventually(t, "the returned member is a learner", func() bool {
+		for _, s := range g.leader().node.Members() {
+			if s.GetId() == "c0" {
+				return !s.GetVoter() && s.GetReachable()
+			}
+		}
+		return false
+	})
+	assert.Assert(t, g.votersAre("c1", "c2", "d0"))
+	g.kill(g.members[1])
+	eventually(t, "the returned member votes again", func() bool { return g.votersAre("c0", "c2", "d0") })
+}
--- a/lib/quorum/lead.go
+++ b/lib/quorum/lead.go
@@ -236,9 +236,10 @@
 	c.out.messages = append(c.out.messages, m)
 }
 
-// repair replaces members whose disk was lost, one membership change at a time:
-// the old identity is removed, the new one is added as learner, and it becomes
-// a voter when it has caught up.
+// repair keeps the group at its number of voters, one membership change at a time.
+// A member whose disk was lost is removed under its old identity. A new identity
+// or a new member is added as learner; it becomes a voter when it has caught up
+// and a voter is missing, or has been silent for long.
 func (c *core) repair() {
 	if c.lead.successor != "" || c.commit < c.lead.first || c.members.index() > c.commit {
 		return
@@ -255,29 +256,38 @@
 			return
 		}
 	}
-	for _, id := range c.peerIDs() {
-		if s, ok := c.usable(id); ok && findMember(cur, id) == nil {
-			c.propose(nil, with(cur, &wire.Member{
-				Id: id, Address: c.cfg.peers[id].String(), DiskId: s.disk,
-			}))
-			return
-		}
+	if id := c.newcomer(); id != "" {
+		c.propose(nil, with(cur, &wire.Member{Id: id, Address: c.addr(id).String(), DiskId: c.seen[id].disk}))
+		return
 	}
-	for _, m := range cur.Members {
+	ready := c.completeLearner()
+	if voters, _ := counts(cur); ready != nil && voters < c.cfg.voters {
+		c.propose(nil, with(cur, &wire.Member{
+			Id: ready.Id, Address: ready.Address, DiskId: ready.DiskId, Voter: true,
+		}))
+		return
+	}
+	if m := c.replaceable(ready != nil); m != nil {
+		c.propose(nil, without(cur, m.Id))
+	}
+}
+
+// completeLearner returns a learner whose log is complete except for what was
+// appended since the last heartbeat; nil if there is none.
+func (c *core) completeLearner() *wire.Member {
+	var ready *wire.Member
+	for _, m := range c.members.current().Members {
 		p := c.lead.peers[m.Id]
 		if p == nil || m.Voter || c.now.Sub(p.ackedAt) >= c.cfg.electionTimeout {
 			continue
 		}
-		// Its log is complete except for what was appended since the last heartbeat.
 		complete := p.goal > 0 && p.match >= p.goal
 		p.goal = c.log.last()
-		if complete {
-			c.propose(nil, with(cur, &wire.Member{
-				Id: m.Id, Address: m.Address, DiskId: m.DiskId, Voter: true,
-			}))
-			return
+		if complete && ready == nil {
+			ready = m
 		}
 	}
+	return ready
 }
 
 // usable returns the recent sighting of a peer that may join this group.
--- a/lib/quorum/node.go
+++ b/lib/quorum/node.go
@@ -56,9 +56,9 @@
 	wg        sync.WaitGroup
 	closeOnce sync.Once
 	closeErr  error
-	// inFlight counts requests without an answer per peer.
-	inFlight map[string]*atomic.Int64
-	status   atomic.Pointer[status]
+	// peers holds a *peer for each other member, by its id.
+	peers  sync.Map
+	status atomic.Pointer[status]
 	// writing is when the disk write in progress began; nil if there is none.
 	writing atomic.Pointer[time.Time]
 
@@ -94,6 +94,13 @@
 	members  *wire.Membership
 }
 
+// peer is what the goroutines that send messages need of another member.
+type peer struct {
+	addr atomic.Pointer[netip.AddrPort]
+	// inFlight counts requests without an answer.
+	inFlight atomic.Int64
+}
+
 type leadChange struct {
 	term    uint64
 	leading bool
@@ -130,14 +137,11 @@
 		events: make(chan func(), 256), proposals: make(chan *proposal, proposeBatch),
 		confirms: make(chan *confirmation, proposeBatch), closing: make(chan struct{}),
 		jobs: newQueue[*job](), leads: newQueue[leadChange](),
-		inFlight: map[string]*atomic.Int64{}, pending: map[uint64]*proposal{},
+		pending: map[uint64]*proposal{},
 	}
 	for _, opt := range opts {
 		opt(n)
 	}
-	for id := range s.Peers {
-		n.inFlight[id] = &atomic.Int64{}
-	}
 	var err error
 	if n.store, err = store.Open(s.DataDir, n.storeOpts...); err != nil {
 		return nil, fmt.Errorf("open store: %w", err)
@@ -161,6 +165,7 @@
 	}
 	n.core = newCore(coreConfig{
 		id: n.settings.ID, disk: n.store.Meta().Disk, peers: n.settings.Peers,
+		voters: n.settings.Voters, join: n.settings.Join,
 		electionTimeout: n.settings.ElectionTimeout, heartbeat: n.settings.Heartbeat,
 		chunkBytes: n.chunkBytes, random: rand.Int64N,
 	}, n.clock(), hard, snap, entries)
@@ -243,9 +248,9 @@
 	case n.storageErr != nil:
 		return link.Errorf(link.CodeStorage, "storage of member %s: %w", n.settings.ID, n.storageErr)
 	case n.core.role != leader:
-		return link.NotLeader(n.addrOf(n.core.leaderID))
+		return link.NotLeader(n.core.addr(n.core.leaderID))
 	case n.core.lead.successor != "":
-		return link.NotLeader(n.addrOf(n.core.lead.successor))
+		return link.NotLeader(n.core.addr(n.core.lead.successor))
 	}
 	return nil
 }
@@ -292,6 +297,8 @@
 		n.stop(n.core.fault)
 	}
 	out := n.core.take()
+	n.locate(out.early)
+	n.locate(out.messages)
 	for _, m := range out.early {
 		n.dispatch(m)
 	}
@@ -378,7 +385,7 @@
 	c := n.core
 	st := &status{term: c.hard.term, leaseEnd: c.leaseEnd(), members: c.members.current()}
 	st.ready = c.role == leader && c.applied >= c.lead.first
-	st.leader = n.addrOf(c.leaderID)
+	st.leader = n.core.addr(c.leaderID)
 	n.status.Store(st)
 	now := leadChange{term: st.term, leading: st.ready}
 	if n.leading.leading && (!now.leading || now.term != n.leading.term) {
--- a/lib/quorum/node_test.go
+++ b/lib/quorum/node_test.go
@@ -97,7 +97,9 @@
 }
 
 type group struct {
-	tb      testing.TB
+	tb testing.TB
+	// mu guards members while a member joins.
+	mu      sync.Mutex
 	members []*member
 	tune    func(s *Settings)
 	opts    []Option
@@ -200,11 +202,13 @@
 
 func (g *group) dial(ctx context.Context, from *member, addr netip.AddrPort) (net.Conn, error) {
 	var to *member
+	g.mu.Lock()
 	for _, p := range g.members {
 		if p.addr == addr {
 			to = p
 		}
 	}
+	g.mu.Unlock()
 	if from.cut.Load() || to.cut.Load() {
 		<-ctx.Done() // A cut network drops packets without an answer.
 		return nil, ctx.Err()
--- a/lib/quorum/replica.go
+++ b/lib/quorum/replica.go
@@ -61,7 +61,7 @@
 		}
 	}
 	r.core = newCore(coreConfig{
-		id: s.ID, disk: d.ID, peers: s.Peers, electionTimeout: s.ElectionTimeout, heartbeat: s.Heartbeat,
+		id: s.ID, disk: d.ID, peers: s.Peers, voters: s.Voters, join: s.Join, electionTimeout: s.ElectionTimeout, heartbeat: s.Heartbeat,
 		chunkBytes: 64 << 10, random: random,
 	}, now, d.hard, d.snap, slices.Clone(d.entries))
 	return r, nil
--- a/lib/quorum/settings.go
+++ b/lib/quorum/settings.go
@@ -19,6 +19,11 @@
 	Listen netip.AddrPort
 	// Peers holds the addresses of all initial members, this one included.
 	Peers map[string]netip.AddrPort
+	// Voters is the number of voters that the group is to have; default all Peers.
+	Voters int
+	// Join says that this member never forms a group with its peers: they, or
+	// members that they know, belong to one already.
+	Join bool
 	// DataDir is the data directory; it is created if it does not exist.
 	DataDir string
 	// ElectionTimeout is how long a leader goes without a majority before it
@@ -33,6 +38,9 @@
 }
 
 func (s *Settings) fill() {
+	if s.Voters == 0 {
+		s.Voters = len(s.Peers)
+	}
 	if s.ElectionTimeout == 0 {
 		s.ElectionTimeout = 500 * time.Millisecond
 	}
--- a/lib/quorum/sim_test.go
+++ b/lib/quorum/sim_test.go
@@ -120,7 +120,7 @@
 		s.restore(n, n.disk.snap)
 	}
 	n.core = newCore(coreConfig{
-		id: n.id, disk: n.disk.id, peers: peers, electionTimeout: simTimeout, heartbeat: simTimeout / 10,
+		id: n.id, disk: n.disk.id, peers: peers, voters: len(peers), electionTimeout: simTimeout, heartbeat: simTimeout / 10,
 		chunkBytes: 64, random: func(v int64) int64 { return int64(s.pick(64)) * v / 64 },
 	}, s.now, n.disk.hard, n.disk.snap, slices.Clone(n.disk.entries))
 }
