--- a/control/fleet.go
+++ b/control/fleet.go
@@ -338,11 +338,12 @@
 			sum.Running += l.GetRunning()
 			sum.PromptTokens += l.GetPromptTokens()
 			sum.MemoryTokens += l.GetMemoryTokens()
+			sum.PromptRate += l.GetPromptRate()
 		}
 	}
 	out := make([]*wire.TargetLoad, 0, len(sums))
 	for _, l := range sums {
-		if l.GetRunning() > 0 {
+		if l.GetRunning() > 0 || l.GetPromptRate() > 0 {
 			out = append(out, l)
 		}
 	}
--- a/entry/gate/answer.go
+++ b/entry/gate/answer.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"bulrushpath.example/lib/relay"
+	"bulrushpath.example/lib/site"
 )
 
 const (
@@ -16,7 +18,10 @@
 	lastEventHeader = "Last-Event-Id"
 )
 
-var errSeal = errors.New("success without the seal of a target")
+var (
+	errSeal   = errors.New("success without the seal of a target")
+	errServer = errors.New("target answered with a failure of its own")
+)
 
 // passWhole reads the whole answer and passes it on; nothing goes to the client
 // before its end was seen.
@@ -32,6 +37,23 @@
 		return fmt.Errorf("answer exceeds %d bytes", maxAnswer)
 	}
 	started()
+	if answer.Status >= http.StatusInternalServerError && c.route.Kind == site.Safe && c.ran+1 < c.route.MaxAttempts {
+		c.kept = &keptAnswer{answer: answer, body: body}
+		return errServer
+	}
+	c.pass(answer, body)
+	return nil
+}
+
+// keptAnswer is a target's failure, which the client gets if no other target
+// does better.
+type keptAnswer struct {
+	answer *relay.Answer
+	body   []byte
+}
+
+// pass sends a whole answer to the client.
+func (c *call) pass(answer *relay.Answer, body []byte) {
 	c.head(answer)
 	if c.r.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -39,7 +61,6 @@
 	c.w.WriteHeader(answer.Status)
 	c.sent = true
 	_, _ = c.w.Write(body)
-	return nil
 }
 
 // head copies the end-to-end headers of an answer.
@@ -65,8 +86,14 @@
 	}
 	control := http.NewResponseController(c.w)
 	events := relay.NewEventReader(answer.Body)
+	var last time.Time
 	for {
 		ev, err := events.Next()
+		now := time.Now()
+		if !last.IsZero() {
+			c.decision.gap = max(c.decision.gap, now.Sub(last))
+		}
+		last = now
 		switch {
 		case errors.Is(err, io.EOF):
 			started()
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -17,6 +17,10 @@
 	maxSends = 6
 	// resendPause is the pause before a request goes to a target that refused it.
 	resendPause = 25 * time.Millisecond
+	// maxFetches bounds the tries to fetch the adapter of one request, and fetchPause
+	// is the pause after each that failed.
+	maxFetches = 40
+	fetchPause = 60 * time.Millisecond
 	// placeWait is how long a request waits for the leader to begin loading a model
 	// that no target holds.
 	placeWait = 700 * time.Millisecond
@@ -38,6 +42,9 @@
 	notRun // not run
 	// unreached: no byte of the request reached the target.
 	unreached // unreached
+	// noAdapter: the target lacks the adapter and it could not be fetched; nothing
+	// was sent.
+	noAdapter // no adapter
 	// broken: the target may have run the request, and its answer is incomplete.
 	broken // broken
 	// gone: the client has left.
@@ -51,12 +58,13 @@
 	c.g.mu.Lock()
 	c.g.budget.Request(c.arrived)
 	c.g.mu.Unlock()
-	for sends := 0; ; sends++ {
+	sends, fetches := 0, 0
+	for {
 		choice, f := c.choose(ctx)
 		if f != nil {
 			return f
 		}
-		if sends > 0 && !c.mayResend(sends) {
+		if sends > 0 && !choice.NeedsAdapter && !c.mayResend(sends) {
 			c.release(choice)
 			return c.outOfTries()
 		}
@@ -72,6 +80,13 @@
 			return &failure{status: http.StatusBadGateway, reason: "client left"}
 		case expired:
 			return c.tooLate()
+		case noAdapter:
+			if fetches++; fetches >= maxFetches {
+				return &failure{status: http.StatusServiceUnavailable, reason: "no target has the adapter", retryAfter: refusedPause}
+			}
+			c.tried[choice.Target.ID] = true
+			c.pause(ctx, fetchPause)
+			continue
 		case unreached, notRun:
 			c.tried[choice.Target.ID] = true
 		case broken:
@@ -81,6 +96,7 @@
 				return &failure{status: http.StatusBadGateway, reason: "answer incomplete: " + err.Error()}
 			}
 		}
+		sends++
 		if res == notRun {
 			c.pause(ctx, resendPause)
 		}
@@ -178,7 +194,10 @@
 	if c.attempts == 0 && c.prompt.Model != "" {
 		c.g.demand.Add(now, &c.prompt, choice.MissTokens)
 	}
-	choice.Target.Begin(&c.prompt, s, choice.MissTokens)
+	t := choice.Target
+	c.decision.prompt = t.Own.PromptTokens + t.Others.PromptTokens
+	c.decision.running = t.Own.Running + t.Others.Running
+	t.Begin(now, &c.prompt, s, choice.MissTokens)
 	c.decision.target, c.decision.wait = choice.Target.ID, choice.Wait
 	c.decision.miss, c.decision.choices = choice.MissTokens, choice.Candidates
 	return choice, time.Time{}
@@ -227,7 +246,7 @@
 	defer func() { c.settle(ctx, choice, first, res) }()
 	if choice.NeedsAdapter {
 		if err := c.g.fetch(ctx, t.ID, c.prompt.Model, c.prompt.Adapter); err != nil {
-			return c.ended(ctx, notRun), err
+			return c.ended(ctx, noAdapter), err
 		}
 	}
 	c.noteAdapter(t)
@@ -257,7 +276,10 @@
 		defer c.g.mu.Unlock()
 		now := time.Now()
 		t.First(now, now.Sub(sentAt), choice.Wait, choice.MissTokens)
-		c.g.met.firstOutput(now.Sub(c.arrived))
+		if c.decision.first == 0 {
+			c.decision.first = now.Sub(c.arrived)
+			c.g.met.firstOutput(c.decision.first)
+		}
 	}
 	if c.route.Kind == site.Stream && answer.Status == http.StatusOK {
 		err = c.passStream(answer, started)
@@ -292,7 +314,7 @@
 		t.Failed(time.Now(), true)
 	case broken:
 		t.Failed(time.Now(), !first)
-	case answered, notRun, gone, expired:
+	case answered, notRun, noAdapter, gone, expired:
 	}
 }
 
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -48,6 +48,8 @@
 	ran int
 	// tried holds the targets not to be chosen again.
 	tried map[string]bool
+	// kept is the failure of a target that waits for a better answer.
+	kept *keptAnswer
 	// sent says that the head of the answer has gone to the client.
 	sent bool
 	// lastEvent is the id of the last event passed on; hasEvent says that there is one.
@@ -64,6 +66,12 @@
 	miss    int
 	choices int
 	waited  time.Duration
+	// first is the time to the first output, gap the longest pause between two
+	// events of a stream, both as this instance saw them.
+	first, gap time.Duration
+	// prompt is the work that was under way at the target, in prompt tokens.
+	prompt  int
+	running int
 	status  int
 	outcome string
 	reason  string
@@ -91,6 +99,10 @@
 		defer cancel()
 		f = c.dispatch(ctx)
 	}
+	if f != nil && c.kept != nil && !c.sent && r.Context().Err() == nil {
+		c.pass(c.kept.answer, c.kept.body)
+		f = nil
+	}
 	c.finish(f)
 }
 
@@ -261,5 +273,8 @@
 	if d.target != "" {
 		e = e.Str("target", d.target).Dur("expected", d.wait).Int("choices", d.choices)
 	}
-	e.Int("attempts", c.attempts).Dur("held", d.waited).Dur("took", time.Since(c.arrived)).Str("reason", d.reason).Msg("")
+	if c.route != nil && c.route.Kind == site.Stream {
+		e = e.Dur("gap", d.gap).Int("promptAhead", d.prompt).Int("runningAhead", d.running)
+	}
+	e.Int("attempts", c.attempts).Dur("held", d.waited).Dur("first", d.first).Dur("took", time.Since(c.arrived)).Str("reason", d.reason).Msg("")
 }
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -80,7 +80,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	req.Term, req.TableVersion = g.fleet.term, g.fleet.version
-	req.Loads = g.fleet.loads(g.adapters)
+	req.Loads = g.fleet.loads(now, g.adapters)
 	clear(g.adapters)
 	req.Demand = g.demand.Report(now)
 	return req
--- a/entry/gate/result_string.go
+++ b/entry/gate/result_string.go
@@ -11,14 +11,15 @@
 	_ = x[answered-0]
 	_ = x[notRun-1]
 	_ = x[unreached-2]
-	_ = x[broken-3]
-	_ = x[gone-4]
-	_ = x[expired-5]
+	_ = x[noAdapter-3]
+	_ = x[broken-4]
+	_ = x[gone-5]
+	_ = x[expired-6]
 }
 
-const _result_name = "answerednot rununreachedbrokenclient leftexpired"
+const _result_name = "answerednot rununreachedno adapterbrokenclient leftexpired"
 
-var _result_index = [...]uint8{0, 8, 15, 24, 30, 41, 48}
+var _result_index = [...]uint8{0, 8, 15, 24, 34, 40, 51, 58}
 
 func (i result) String() string {
 	idx := int(i) - 0
--- a/entry/gate/table.go
+++ b/entry/gate/table.go
@@ -119,23 +119,24 @@
 		if t := f.targets[l.GetTarget()]; t != nil {
 			t.Others = steer.Load{
 				Running: int(l.GetRunning()), PromptTokens: int(l.GetPromptTokens()),
-				MemoryTokens: int(l.GetMemoryTokens()),
+				MemoryTokens: int(l.GetMemoryTokens()), PromptRate: float64(l.GetPromptRate()),
 			}
 		}
 	}
 }
 
 // loads returns what this instance has under way, for the report to control.
-func (f *fleetTable) loads(adapters map[string]map[string]bool) []*wire.TargetLoad {
+func (f *fleetTable) loads(now time.Time, adapters map[string]map[string]bool) []*wire.TargetLoad {
 	var out []*wire.TargetLoad
 	for id, t := range f.targets {
 		used := adapters[id]
-		if t.Own.Running <= 0 && len(used) == 0 {
+		own := t.Report(now)
+		if own.Running <= 0 && len(used) == 0 && own.PromptRate < 1 {
 			continue
 		}
 		l := &wire.TargetLoad{
-			Target: id, Running: uint32(max(t.Own.Running, 0)),
-			PromptTokens: uint64(max(t.Own.PromptTokens, 0)), MemoryTokens: uint64(max(t.Own.MemoryTokens, 0)),
+			Target: id, Running: uint32(max(own.Running, 0)), PromptRate: uint64(own.PromptRate),
+			PromptTokens: uint64(max(own.PromptTokens, 0)), MemoryTokens: uint64(max(own.MemoryTokens, 0)),
 		}
 		for name := range used {
 			l.Adapters = append(l.Adapters, name)
--- a/lib/relay/pool.go
+++ b/lib/relay/pool.go
@@ -18,7 +18,7 @@
 const (
 	// dialTimeout bounds one connection attempt; a target that does not answer is
 	// left for another one.
-	dialTimeout = 600 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken, which shows a connection that went silent.
 	userTimeout = 1500 * time.Millisecond
--- a/lib/steer/steer.go
+++ b/lib/steer/steer.go
@@ -4,6 +4,7 @@
 package steer
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -27,6 +28,15 @@
 	fullCost = 2 * time.Second
 	// errorCost is added in proportion to the failing share of recent requests.
 	errorCost = 3 * time.Second
+	// longPrompt is the number of tokens to read above which a prompt slows the
+	// streams that run beside it, and streamCost is what that costs for each.
+	longPrompt = 3000.0
+	streamCost = 8 * time.Millisecond
+	// busyCost is added to a short prompt at a target that reads prompts all the time:
+	// its stream would pause while they are read.
+	busyCost = 400 * time.Millisecond
+	// rateHalf is the half-life of Load.PromptRate.
+	rateHalf = 2 * time.Second
 	// avoidMin and avoidMax bound how long a target is left alone after a failure
 	// to reach it.
 	avoidMin = 500 * time.Millisecond
@@ -88,6 +98,8 @@
 	PromptTokens int
 	// MemoryTokens counts what running requests occupy.
 	MemoryTokens int
+	// PromptRate is the number of prompt tokens to read that arrive per second.
+	PromptRate float64
 }
 
 // Target is one incarnation of a target, as an entry instance knows it.
@@ -108,6 +120,8 @@
 	Own, Others Load
 
 	cache cache
+	// rateAt is when Own.PromptRate was last brought up to date.
+	rateAt time.Time
 	// avoidUntil and avoidFor implement the back-off after failures to reach it.
 	avoidUntil time.Time
 	avoidFor   time.Duration
@@ -217,6 +231,10 @@
 		pending := float64(t.Own.PromptTokens + t.Others.PromptTokens)
 		wait = (miss + pending) / prefillPerMilli * float64(time.Millisecond)
 		wait += float64(running) * float64(runningCost)
+		long := min(float64(c.MissTokens)/longPrompt, 1)
+		wait += long * float64(running) * float64(streamCost)
+		busy := min((t.promptRate(now)+t.Others.PromptRate)/(prefillPerMilli*1000), 1)
+		wait += (1 - long) * busy * float64(busyCost)
 		m := t.Models[r.Model]
 		if r.Adapter != "" && !m.Adapters[r.Adapter] {
 			c.NeedsAdapter = true
@@ -271,8 +289,22 @@
 	t.slow, t.seenAt = s, now
 }
 
+// promptRate returns the decayed rate of prompt tokens from this entry instance.
+func (t *Target) promptRate(now time.Time) float64 {
+	return t.Own.PromptRate * math.Exp2(-float64(now.Sub(t.rateAt))/float64(rateHalf))
+}
+
+// Report returns the work of this entry instance at the target.
+func (t *Target) Report(now time.Time) Load {
+	l := t.Own
+	l.PromptRate = t.promptRate(now)
+	return l
+}
+
 // Begin notes that the request goes to the target, with what Pick expected.
-func (t *Target) Begin(r *Request, s Site, miss int) {
+func (t *Target) Begin(now time.Time, r *Request, s Site, miss int) {
+	t.Own.PromptRate = t.promptRate(now) + float64(miss)*math.Ln2/rateHalf.Seconds()
+	t.rateAt = now
 	t.Own.Running++
 	t.Own.PromptTokens += miss
 	t.Own.MemoryTokens += r.PromptTokens + r.OutputTokens
