--- a/control/order.go
+++ b/control/order.go
@@ -242,7 +242,7 @@
 			return Accepted, nil
 		case !f.mayOrder(term, st):
 			return result, fmt.Errorf("target or leadership lost: %w", err)
-		case !f.fits(st):
+		case o.Op == scale.Load && !f.fits(st):
 			return NoRoom, errors.New("the engine has no room for it")
 		}
 		f.markSent(st, o)
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -66,6 +66,8 @@
 	draining atomic.Bool
 	active   atomic.Int64
 
+	// configured is closed when the first configuration is in effect.
+	configured chan struct{}
 	// kick asks for a report to control before the next one is due.
 	kick chan struct{}
 
@@ -115,7 +117,7 @@
 		name: p.Common.Name, zone: p.Common.Zone, log: p.Log, met: newMetrics(p.Scope),
 		headers: headers, describe: describe, decode: decode, seeds: seeds,
 		retry: RetryBudget{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
-		drpc:  link.NewPool(), kick: make(chan struct{}, 1), fleet: newFleetTable(),
+		drpc:  link.NewPool(), kick: make(chan struct{}, 1), configured: make(chan struct{}), fleet: newFleetTable(),
 		changed: make(chan struct{}), adapters: make(map[string]map[string]bool),
 	}
 	for _, opt := range opts {
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -23,6 +23,8 @@
 	// drainRetry is when a client may come back that an instance refused because it
 	// stops; another instance serves it at once.
 	drainRetry = 10 * time.Millisecond
+	// configWait is how long a request waits for the first configuration after a start.
+	configWait = 1500 * time.Millisecond
 	// defaultBody bounds a body while the configuration names no limit, in bytes.
 	defaultBody = 4 << 20
 )
@@ -109,7 +111,7 @@
 // read checks the request and finds its route.
 func (c *call) read() *failure {
 	c.id = c.r.Header.Get(c.g.headers.RequestID)
-	c.index = c.g.index.Load()
+	c.index = c.g.awaitConfig(c.r.Context())
 	if c.index == nil {
 		return &failure{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: time.Second}
 	}
@@ -135,6 +137,19 @@
 	return c.readBody()
 }
 
+// awaitConfig returns the configuration in effect, nil if none arrives in time.
+func (g *Gate) awaitConfig(ctx context.Context) *site.Index {
+	if x := g.index.Load(); x != nil {
+		return x
+	}
+	select {
+	case <-g.configured:
+	case <-ctx.Done():
+	case <-time.After(configWait):
+	}
+	return g.index.Load()
+}
+
 func (c *call) readDeadline() *failure {
 	wait := defaultDeadline
 	if text := c.r.Header.Get(c.g.headers.Deadline); text != "" {
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -17,6 +17,8 @@
 	// reportPeriod is the time between two reports to control; it bounds how old
 	// the configuration and the table of targets may be.
 	reportPeriod = 200 * time.Millisecond
+	// startPeriod replaces it until the first configuration has arrived.
+	startPeriod = 60 * time.Millisecond
 	// kickPause is the shortest time between two reports.
 	kickPause = 30 * time.Millisecond
 	// reportTimeout bounds one report, so that a silently cut instance of control is
@@ -31,7 +33,7 @@
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-time.After(reportPeriod - kickPause):
+	case <-time.After(g.period() - kickPause):
 	case <-g.kick:
 	}
 	select {
@@ -42,6 +44,14 @@
 	return g.report(ctx)
 }
 
+// period is the time to the next report.
+func (g *Gate) period() time.Duration {
+	if g.index.Load() == nil {
+		return startPeriod
+	}
+	return reportPeriod
+}
+
 // hurry asks for a report now.
 func (g *Gate) hurry() {
 	select {
@@ -104,6 +114,9 @@
 		return
 	}
 	g.index.Store(site.NewIndex(cfg))
+	if held == 0 {
+		close(g.configured)
+	}
 	g.log.Info().Str("event", "configInEffect").Uint64("version", doc.GetVersion()).
 		Uint64("replaced", held).Int("routes", len(cfg.Routes)).Msg("")
 }
