--- a/control/order.go
+++ b/control/order.go
@@ -169,7 +169,7 @@
 		for _, t := range p.Tick(v) {
 			st := f.stations[t.ID]
 			f.log.Info().Str("event", "ordered").Str("target", t.ID).Str("op", t.Order.Op.String()).
-				Str("model", t.Order.Model).Str("reason", t.Order.Reason).Uint64("term", f.term).
+				Str("model", t.Order.Model).Str("reason", t.Order.Reason).Str("for", t.Order.For).Uint64("term", f.term).
 				Float64("work", demand[t.Order.Model].Work).Int("waiting", demand[t.Order.Model].Waiting).Msg("")
 			f.table.Touch(t.ID)
 			term, order, took := f.term, *t.Order, t.ReadyAt.Sub(now)
--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -15,6 +15,12 @@
 	// richer is how many times the work per copy of a growing model must exceed
 	// what the victim's remaining copies would carry.
 	richer = 2.0
+	// unreachable ranks a model that is asked for and has no copy before all others.
+	unreachable = 1000.0
+	// idleNeed ranks a model without a copy that nobody asks for: it comes back into
+	// free memory, or in place of a copy that is hardly used, but not in place of
+	// one that a crest of demand needs.
+	idleNeed = 0.4
 	// settle is how long a copy stays before it may make way.
 	settle = 4 * time.Second
 	// storeBurst is the number of loads from the weight store that may begin at once.
@@ -73,7 +79,8 @@
 // need is one model with what it has and what it wants.
 type need struct {
 	model *site.Model
-	// copies counts the resident copies that stay, loading those under way.
+	// copies counts the resident copies that stay, loading those under way, the ones
+	// for which room is being made included.
 	copies, loading int
 	demand          Demand
 	zones           map[string]int
@@ -81,11 +88,28 @@
 
 // perCopy is the work that each of n copies carries.
 func (n *need) perCopy(copies int) float64 {
-	if copies <= 0 {
-		// A model without a copy is needed more than any that has one.
-		return n.demand.Work + 1000 + 1000*float64(min(n.demand.Waiting, 1))
+	switch {
+	case copies > 0:
+		return n.demand.Work / float64(copies)
+	case n.demand.Waiting > 0:
+		return 2 * unreachable
+	case n.demand.Work > 0:
+		return unreachable
 	}
-	return n.demand.Work / float64(copies)
+	return idleNeed
+}
+
+// coming returns the model that the order under way is to bring; empty if none.
+func (t *Target) coming() string {
+	switch {
+	case t.Order == nil:
+		return ""
+	case t.Order.Op == Unload:
+		return t.Order.For
+	case t.Copies[t.Order.Model] != nil:
+		return ""
+	}
+	return t.Order.Model
 }
 
 func needs(v View) []*need {
@@ -104,11 +128,9 @@
 				n.zones[t.Zone]++
 			}
 		}
-		if t.Order != nil && t.Order.Op == Load && t.Copies[t.Order.Model] == nil {
-			if n := byName[t.Order.Model]; n != nil {
-				n.loading++
-				n.zones[t.Zone]++
-			}
+		if name := t.coming(); name != "" && byName[name] != nil {
+			byName[name].loading++
+			byName[name].zones[t.Zone]++
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *need) int {
@@ -196,9 +218,6 @@
 // makeRoom begins the unload of a copy that is needed less, at a target that
 // then has room for the model.
 func makeRoom(v View, list []*need, n *need) *Target {
-	if waitsForRoom(v, n) {
-		return nil
-	}
 	want := n.perCopy(n.copies + n.loading)
 	var best *Target
 	victim, bestCost := "", 0.0
@@ -232,20 +251,10 @@
 		return nil
 	}
 	best.Copies[victim].LeavingSince = v.Now
-	begin(v, best, Order{Op: Unload, Model: victim, Reason: "room for " + n.model.Name}, warmUnload)
+	begin(v, best, Order{Op: Unload, Model: victim, For: n.model.Name, Reason: "room"}, warmUnload)
 	return best
 }
 
-// waitsForRoom says that an unload for this model is under way already.
-func waitsForRoom(v View, n *need) bool {
-	for _, t := range v.Targets {
-		if t.Order != nil && t.Order.Op == Unload && t.Order.Reason == "room for "+n.model.Name {
-			return true
-		}
-	}
-	return false
-}
-
 func find(list []*need, name string) *need {
 	for _, n := range list {
 		if n.model.Name == name {
--- a/lib/scale/target.go
+++ b/lib/scale/target.go
@@ -34,6 +34,8 @@
 	Model string
 	// Adapter is empty for the model itself.
 	Adapter string
+	// For is the model that an unload makes room for.
+	For string
 	// Reason is why the planner gave the order, for logs.
 	Reason string
 }
