--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -217,6 +217,9 @@
 	switch {
 	case unknown:
 		return &failure{status: http.StatusServiceUnavailable, reason: "the model is not declared", retryAfter: time.Second}
+	case !c.g.warm.Load() && now.Add(answerMargin).Before(c.deadline):
+		// Control does not know all targets yet.
+		return nil
 	case until.IsZero() && now.Sub(begun) < placeWait && now.Add(answerMargin).Before(c.deadline):
 		return nil
 	case !until.IsZero() && until.Add(answerMargin).Before(c.deadline):
@@ -341,6 +344,9 @@
 	left := max(time.Until(c.deadline), time.Millisecond)
 	c.out.Header.Set(c.g.headers.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	c.out.Header.Set(c.g.headers.Target, t.ID)
+	if c.prompt.Model != "" {
+		c.out.Header.Set(c.g.headers.Priority, strconv.Itoa(c.route.Urgency()))
+	}
 	if c.hasEvent {
 		c.out.Header.Set(lastEventHeader, strconv.FormatUint(c.lastEvent, 10))
 	}
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -38,6 +38,8 @@
 	Target string
 	// NotRun marks an answer whose request was certainly not run.
 	NotRun string
+	// Priority holds the rank of a request at an engine, 0 first.
+	Priority string
 	// Seal marks an answer that a target made.
 	Seal string
 	// Reserved lists headers that only the system may set; they are removed from
@@ -62,7 +64,9 @@
 	// index is nil until the first configuration has arrived.
 	index atomic.Pointer[site.Index]
 	// contact is the time of the last answer of control, in Unix nanoseconds.
-	contact  atomic.Int64
+	contact atomic.Int64
+	// warm says that control had time to hear of every target.
+	warm     atomic.Bool
 	draining atomic.Bool
 	active   atomic.Int64
 
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -76,6 +76,7 @@
 	if before := g.contact.Swap(now.UnixNano()); now.Sub(time.Unix(0, before)) > contactWithin {
 		g.log.Info().Str("event", "controlReached").Uint64("term", reply.GetTerm()).Msg("")
 	}
+	g.warm.Store(reply.GetWarm())
 	g.takeDocument(reply.GetDocument())
 	g.takeTable(now, reply)
 	return nil
--- a/lib/site/config.go
+++ b/lib/site/config.go
@@ -72,6 +72,24 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
+// Urgency is the rank that engines give the requests of the route, 0 first: that
+// of the operator, and then work for which somebody waits before work that may
+// take seconds.
+func (r *Route) Urgency() int {
+	n := 1 + 2*r.Priority
+	if r.Objective > patientAfter {
+		n += 2
+	}
+	return min(max(n, 0), maxUrgency)
+}
+
+const (
+	// patientAfter is the objective above which nobody waits for the answer.
+	patientAfter = time.Second
+	// maxUrgency is the last rank that engines know.
+	maxUrgency = 9
+)
+
 // Split is the share of one service in the requests of a route.
 type Split struct {
 	Service string
