--- a/control/order.go
+++ b/control/order.go
@@ -117,9 +117,7 @@
 		f.stations[a.ID] = st
 	}
 	st.at = a
-	for _, m := range e.Cached {
-		st.Cached[m] = true
-	}
+	st.Cache(e.Cached)
 	changed := st.Observe(now, e.Held)
 	if changed {
 		f.table.Touch(a.ID)
@@ -308,6 +306,7 @@
 	st.count, st.counted = e.Count, true
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	st.Cache(e.Cached)
 	st.Observe(time.Now(), e.Held)
 	if o.Adapter != "" {
 		return open && scale.Holds(e.Held, o.Model, o.Adapter) == (o.Op == scale.Load), nil
@@ -361,6 +360,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	st.Cache(e.Cached)
 	if st.Observe(now, e.Held) {
 		f.table.Touch(st.ID)
 	}
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -284,9 +285,13 @@
 			c.g.met.firstOutput(c.decision.first)
 		}
 	}
-	if c.route.Kind == site.Stream && answer.Status == http.StatusOK {
+	switch {
+	case c.route.Kind == site.Stream && answer.Status == http.StatusOK:
 		err = c.passStream(answer, started)
-	} else {
+	case c.sent:
+		// The client has the beginning of a stream, which this cannot complete.
+		err = fmt.Errorf("resumed stream answered with status %d", answer.Status)
+	default:
 		err = c.passWhole(answer, started)
 	}
 	if err != nil {
--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -24,7 +24,10 @@
 	// settle is how long a copy stays before it may make way.
 	settle = 4 * time.Second
 	// storeBurst is the number of loads from the weight store that may begin at once.
-	storeBurst = 3
+	storeBurst = 2
+	// storeShare is the part of the store's rate that is used: a load begins up to
+	// seconds after its order if the answer is lost.
+	storeShare = 0.95
 	// warmUnload is the time an unload is expected to take.
 	warmUnload = 500 * time.Millisecond
 )
@@ -70,7 +73,7 @@
 
 func (p *Planner) refillPermits(v View) {
 	if !p.refill.IsZero() {
-		p.permits += v.Now.Sub(p.refill).Seconds() * v.Engine.LoadsPerSecond
+		p.permits += v.Now.Sub(p.refill).Seconds() * v.Engine.LoadsPerSecond * storeShare
 	}
 	p.permits = min(p.permits, storeBurst)
 	p.refill = v.Now
--- a/lib/scale/target.go
+++ b/lib/scale/target.go
@@ -113,7 +113,6 @@
 			c = &Copy{Since: now, Adapters: make(map[string]*Adapter)}
 			t.Copies[h.Model], changed = c, true
 		}
-		t.Cached[h.Model] = true
 		c.observe(now, h.Adapters)
 	}
 	for name, c := range t.Copies {
@@ -133,6 +132,15 @@
 	return t.finish(names) || changed
 }
 
+// Cache takes the engine's words on the weights that it keeps outside its
+// accelerator; what they leave out was evicted.
+func (t *Target) Cache(models []string) {
+	clear(t.Cached)
+	for _, m := range models {
+		t.Cached[m] = true
+	}
+}
+
 // observe takes the adapters that the engine names beside the model.
 func (c *Copy) observe(now time.Time, adapters []string) {
 	names := make(map[string]bool, len(adapters))
