--- /dev/null
+++ b/lib/relay/relay_test.go
@@ -0,0 +1,319 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const idHeader = "Test-Id"
+
+// target is a server that answers each request with the bytes of answer; an empty
+// answer closes the connection.
+type target struct {
+	addr netip.AddrPort
+	ln   net.Listener
+	wg   sync.WaitGroup
+
+	mu sync.Mutex
+	// requests are the ids of the requests read, conns the connections accepted.
+	requests []string
+	conns    int
+	open     map[net.Conn]bool
+}
+
+func newTarget(t *testing.T, answer func(n int, id string) string) *target {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &target{addr: ln.Addr().(*net.TCPAddr).AddrPort(), ln: ln, open: map[net.Conn]bool{}}
+	s.wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			s.open[c] = true
+			s.mu.Unlock()
+			s.wg.Go(func() { s.serve(c, answer) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		s.mu.Lock()
+		for c := range s.open {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		s.wg.Wait()
+	})
+	return s
+}
+
+func (s *target) serve(c net.Conn, answer func(n int, id string) string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		s.mu.Lock()
+		s.requests = append(s.requests, req.Header.Get(idHeader))
+		n := len(s.requests)
+		s.mu.Unlock()
+		text := answer(n, req.Header.Get(idHeader))
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(c, text); err != nil || strings.Contains(text, "Connection: close") {
+			return
+		}
+	}
+}
+
+func (s *target) count() (requests, conns int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests), s.conns
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
+}
+
+func get(id string) *Request {
+	return &Request{
+		Method: http.MethodGet, URI: "/x", Host: "a.example",
+		Header: http.Header{idHeader: {id}}, IDHeader: idHeader, ID: id,
+	}
+}
+
+func exchange(t *testing.T, p *Pool, s *target, id string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	a, err := p.Do(ctx, Target{ID: "t", Addr: s.addr}, 0, get(id))
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(a.Body)
+	return string(body), err
+}
+
+// Guards against answers that reach another request: a second answer to an
+// earlier one, which arrives where the next answer is due.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	s := newTarget(t, func(n int, id string) string {
+		if n == 2 {
+			return whole("1", "late") + whole(id, "own")
+		}
+		return whole(id, "own")
+	})
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := exchange(t, p, s, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "own")
+	}
+}
+
+// Guards against reuse of a connection on which bytes wait that belong to no request.
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	s := newTarget(t, func(_ int, id string) string { return whole(id, "own") + "garbage" })
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	for _, id := range []string{"1", "2"} {
+		body, err := exchange(t, p, s, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "own")
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, conns := s.count()
+	assert.Equal(t, conns, 2)
+}
+
+// Guards against a body that looks complete although its end is missing, and
+// against a refusal of one that rightly ends with its connection.
+func TestEndOfBody(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		ok           bool
+	}{
+		{"shorter than announced", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhalf", false},
+		{"no last chunk", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n4\r\nhalf\r\n", false},
+		{"ends with the connection", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nConnection: close\r\n\r\nwhole", true},
+		{"not HTTP", "\x00\x01\x02 Connection: close\r\n\r\n", false},
+		{"no id", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTarget(t, func(int, string) string { return c.answer })
+			p := NewPool()
+			defer func() { _ = p.Close() }()
+			_, err := exchange(t, p, s, "1")
+			assert.Equal(t, err == nil, c.ok, "%v", err)
+		})
+	}
+}
+
+// Guards against a request that is sent twice by itself when a reused connection
+// breaks, as net/http's client does for GET.
+func TestBrokenConnectionIsNotRetried(t *testing.T) {
+	s := newTarget(t, func(n int, id string) string {
+		if n == 1 {
+			return whole(id, "own")
+		}
+		return ""
+	})
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	_, err := exchange(t, p, s, "1")
+	assert.NilError(t, err)
+	_, err = exchange(t, p, s, "2")
+	var failed *Error
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Assert(t, failed.Sent && failed.Reused)
+	requests, _ := s.count()
+	assert.Equal(t, requests, 2)
+}
+
+// Guards against a request on a connection that the target has closed meanwhile:
+// its outcome would be unknown for no reason.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := newTarget(t, func(_ int, id string) string { return whole(id, "own") })
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	_, err := exchange(t, p, s, "1")
+	assert.NilError(t, err)
+	s.mu.Lock()
+	for c := range s.open {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	_, err = exchange(t, p, s, "2")
+	assert.NilError(t, err)
+}
+
+// Guards against a failed dial that counts as sent: the request may go elsewhere.
+func TestFailedDialIsNotSent(t *testing.T) {
+	s := newTarget(t, func(int, string) string { return "" })
+	_ = s.ln.Close()
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	_, err := exchange(t, p, s, "1")
+	var failed *Error
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Assert(t, !failed.Sent)
+}
+
+// Guards against work that goes on at the target after the client has left.
+func TestCancelClosesTheConnection(t *testing.T) {
+	s := newTarget(t, func(_ int, id string) string {
+		return "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nContent-Length: 100\r\n\r\npart"
+	})
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	a, err := p.Do(ctx, Target{ID: "t", Addr: s.addr}, 0, get("1"))
+	assert.NilError(t, err)
+	cancel()
+	_, err = io.ReadAll(a.Body)
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.NilError(t, a.Body.Close())
+	_, err = exchange(t, p, s, "2")
+	assert.Assert(t, err != nil)
+	_, conns := s.count()
+	assert.Equal(t, conns, 2)
+}
+
+// Guards against more connections than the target accepts.
+func TestConnectionLimit(t *testing.T) {
+	s := newTarget(t, func(_ int, id string) string {
+		return "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nContent-Length: 100\r\n\r\npart"
+	})
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	a, err := p.Do(context.Background(), Target{ID: "t", Addr: s.addr}, 1, get("1"))
+	assert.NilError(t, err)
+	_, err = p.Do(context.Background(), Target{ID: "t", Addr: s.addr}, 1, get("2"))
+	assert.ErrorIs(t, err, ErrConnLimit)
+	assert.NilError(t, a.Body.Close())
+}
+
+// chunks returns a reader that hands out text in pieces of the given sizes.
+type chunks struct {
+	text  string
+	sizes []int
+}
+
+func (c *chunks) Read(b []byte) (int, error) {
+	if c.text == "" {
+		return 0, io.EOF
+	}
+	n := len(c.text)
+	if len(c.sizes) > 0 {
+		n = min(n, c.sizes[0])
+		c.sizes = c.sizes[1:]
+	}
+	n = copy(b, c.text[:n])
+	c.text = c.text[n:]
+	return n, nil
+}
+
+// Guards against events that are split, joined or changed when they arrive in
+// pieces, and against a stream that ends within an event without an error.
+func TestEventReader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 8).Draw(t, "events")
+		text := ""
+		for i := range n {
+			end := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "end")
+			text += fmt.Sprintf("id: %d%sdata: %s%s%s", i+1, end, strings.Repeat("x", rapid.IntRange(0, 9000).Draw(t, "size")), end, end)
+		}
+		cut := rapid.IntRange(0, len(text)).Draw(t, "cut")
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 700), 0, 40).Draw(t, "sizes")
+		r := NewEventReader(&chunks{text: text[:cut], sizes: sizes})
+		got, count := "", 0
+		for {
+			ev, err := r.Next()
+			if errors.Is(err, io.EOF) || errors.Is(err, ErrTorn) {
+				if (err == io.EOF) != (got == text[:cut]) {
+					t.Fatalf("stream of %d bytes ended with %v after %d", cut, err, len(got))
+				}
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			got += string(ev.Raw)
+			count++
+			if !ev.HasID || ev.ID != uint64(count) {
+				t.Fatalf("event %d has id %d", count, ev.ID)
+			}
+		}
+		if !strings.HasPrefix(text, got) {
+			t.Fatal("events differ from the stream")
+		}
+	})
+}
--- /dev/null
+++ b/lib/scale/scale_test.go
@@ -0,0 +1,238 @@
+package scale
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"bulrushpath.example/lib/site"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+const tick = 100 * time.Millisecond
+
+// engineOf describes engines of 200 GB and models of about 70 GB.
+func engineOf(models int) *site.Engine {
+	e := &site.Engine{MemoryMB: 200_000, AdapterPlaces: 8, LoadsPerSecond: 1.4}
+	for i := range models {
+		e.Models = append(e.Models, site.Model{
+			Name: fmt.Sprintf("m%02d", i), MB: 65_000, Load: 4 * time.Second, Disk: 800 * time.Millisecond,
+			Adapters: 2, AdapterMB: 66,
+		})
+	}
+	return e
+}
+
+// fakeEngine is an engine that carries out model orders after their time.
+type fakeEngine struct {
+	target *Target
+	held   map[string]bool
+	cached map[string]bool
+	// loads counts loads from the weight store.
+	loads int
+}
+
+// world runs a planner against fake engines.
+type world struct {
+	now     time.Time
+	engine  *site.Engine
+	planner *Planner
+	engines []*fakeEngine
+	demand  map[string]Demand
+	// begun holds the times of loads from the weight store.
+	begun []time.Time
+}
+
+func newWorld(engines, models int) *world {
+	w := &world{now: start, engine: engineOf(models), planner: &Planner{}, demand: map[string]Demand{}}
+	for i := range engines {
+		w.engines = append(w.engines, &fakeEngine{
+			target: NewTarget(fmt.Sprintf("t%d", i), fmt.Sprintf("z%d", i%3)),
+			held:   map[string]bool{}, cached: map[string]bool{},
+		})
+	}
+	return w
+}
+
+func (w *world) hold(engine int, models ...string) {
+	e := w.engines[engine]
+	for _, m := range models {
+		e.held[m], e.cached[m] = true, true
+	}
+	w.observe(e)
+}
+
+func (w *world) observe(e *fakeEngine) {
+	var held []Held
+	for m := range e.held {
+		held = append(held, Held{Model: m})
+	}
+	var cached []string
+	for m := range e.cached {
+		cached = append(cached, m)
+	}
+	e.target.Cache(cached)
+	e.target.Observe(w.now, held)
+}
+
+// step plans, and carries out what is due.
+func (w *world) step() {
+	w.now = w.now.Add(tick)
+	v := View{Now: w.now, Engine: w.engine, Demand: w.demand}
+	for _, e := range w.engines {
+		v.Targets = append(v.Targets, e.target)
+	}
+	for _, t := range w.planner.Tick(v) {
+		t.Sent, t.Accepted = true, w.now
+		for _, e := range w.engines {
+			if e.target == t && t.Order.Op == Load && !e.cached[t.Order.Model] {
+				e.loads++
+				w.begun = append(w.begun, w.now)
+			}
+		}
+	}
+	for _, e := range w.engines {
+		if o := e.target.Order; o != nil && !w.now.Before(e.target.ReadyAt) {
+			e.held[o.Model] = o.Op == Load
+			if o.Op == Load {
+				e.cached[o.Model] = true
+			} else {
+				delete(e.held, o.Model)
+			}
+		}
+		w.observe(e)
+	}
+}
+
+func (w *world) run(d time.Duration) {
+	for range int(d / tick) {
+		w.step()
+	}
+}
+
+func (w *world) copies(model string) (n int) {
+	for _, e := range w.engines {
+		if e.held[model] {
+			n++
+		}
+	}
+	return n
+}
+
+// Pattern: a start with models that no engine holds. Guards against models that
+// stay unreachable although there is room, or copies to make room from.
+func TestEveryModelGetsACopy(t *testing.T) {
+	w := newWorld(4, 10)
+	for i := range 4 {
+		w.hold(i, "m00", "m01")
+	}
+	w.run(30 * time.Second)
+	for _, m := range w.engine.Models {
+		assert.Assert(t, w.copies(m.Name) >= 1, "no copy of %s", m.Name)
+	}
+}
+
+// Pattern: demand moves to another model. Guards against copies that follow it
+// too late, and against the last copy of a model that gives way.
+func TestCopiesFollowDemand(t *testing.T) {
+	w := newWorld(6, 8)
+	for i := range 6 {
+		w.hold(i, "m00", fmt.Sprintf("m%02d", i+1))
+	}
+	w.hold(0, "m07")
+	w.demand["m05"] = Demand{Work: 1.5}
+	w.run(12 * time.Second)
+	assert.Assert(t, w.copies("m05") >= 3, "%d copies", w.copies("m05"))
+	for _, m := range w.engine.Models {
+		assert.Assert(t, w.copies(m.Name) >= 1, "no copy of %s", m.Name)
+	}
+}
+
+// Pattern: engines are lost at a crest, and models without demand with them.
+// Guards against copies of the model at its crest that make way for idle ones.
+func TestIdleModelsDoNotDisplaceACrest(t *testing.T) {
+	w := newWorld(4, 9)
+	for i := range 4 {
+		w.hold(i, "m00", "m01", fmt.Sprintf("m%02d", i+2))
+	}
+	w.demand["m00"], w.demand["m01"] = Demand{Work: 2}, Demand{Work: 2}
+	w.run(20 * time.Second)
+	assert.Assert(t, w.copies("m00") >= 3 && w.copies("m01") >= 3, "%d and %d copies", w.copies("m00"), w.copies("m01"))
+	w.demand["m08"] = Demand{Work: 0.01, Waiting: 1}
+	w.run(10 * time.Second)
+	assert.Assert(t, w.copies("m08") >= 1, "a model that is asked for got no copy")
+}
+
+// Guards against orders that exceed an engine's memory, and against more loads
+// from the weight store than it allows, whatever the demand.
+func TestLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(1, 5).Draw(t, "engines"), rapid.IntRange(1, 9).Draw(t, "models"))
+		for range rapid.IntRange(1, 40).Draw(t, "phases") {
+			m := w.engine.Models[rapid.IntRange(0, len(w.engine.Models)-1).Draw(t, "model")].Name
+			w.demand[m] = Demand{
+				Work: rapid.Float64Range(0, 3).Draw(t, "work"), Waiting: rapid.IntRange(0, 2).Draw(t, "waiting"),
+			}
+			if rapid.IntRange(0, 9).Draw(t, "crash") == 0 {
+				e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")]
+				*e = fakeEngine{target: NewTarget(e.target.ID, e.target.Zone), held: map[string]bool{}, cached: map[string]bool{}}
+			}
+			for range rapid.IntRange(1, 20).Draw(t, "ticks") {
+				w.step()
+				for _, e := range w.engines {
+					if used := e.target.UsedMB(w.engine); used > w.engine.MemoryMB {
+						t.Fatalf("%s may hold %.0f of %.0f MB", e.target.ID, used, w.engine.MemoryMB)
+					}
+				}
+			}
+		}
+		for i, at := range w.begun {
+			n := 0
+			for _, x := range w.begun[i:] {
+				if x.Sub(at) <= 5*time.Second {
+					n++
+				}
+			}
+			if float64(n) > 1.4*5*1.1+3 {
+				t.Fatalf("%d loads from the store within 5 s", n)
+			}
+		}
+	})
+}
+
+// Guards against memory that is counted as free because an engine's words are
+// older than an order that it has carried out.
+func TestStaleWordsFreeNothing(t *testing.T) {
+	e := engineOf(3)
+	x := NewTarget("t", "z")
+	x.Observe(start, []Held{{Model: "m00"}})
+	x.Order, x.Sent, x.Accepted = &Order{Op: Load, Model: "m01"}, true, start
+	assert.Assert(t, x.Observe(start.Add(time.Second), []Held{{Model: "m00"}, {Model: "m01"}}))
+	assert.Assert(t, x.Order == nil)
+	x.Observe(start.Add(1100*time.Millisecond), []Held{{Model: "m00"}})
+	assert.Equal(t, x.UsedMB(e), 2*65_000+8*66.0)
+	x.Observe(start.Add(6*time.Second), []Held{{Model: "m00"}})
+	assert.Equal(t, x.UsedMB(e), 65_000+8*66.0)
+}
+
+// Guards against an adapter place that counts as free while an order for it is
+// open or its unload waits for running requests.
+func TestAdapterPlaces(t *testing.T) {
+	x := NewTarget("t", "z")
+	x.Observe(start, []Held{{Model: "m00", Adapters: []string{"a1"}}})
+	c := x.Copies["m00"]
+	c.Adapters["a2"] = &Adapter{ReadyAt: start.Add(time.Minute), Used: start}
+	assert.Equal(t, x.AdapterCount(), 2)
+	_, name, ok := x.Stale(start.Add(time.Second))
+	assert.Assert(t, ok)
+	c.Adapters[name].Leaving = true
+	assert.Equal(t, x.AdapterCount(), 2)
+	_, other, ok := x.Stale(start.Add(time.Second))
+	assert.Assert(t, ok && other != name)
+	_, _, ok = x.Stale(start.Add(-time.Second))
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/lib/steer/steer_test.go
@@ -0,0 +1,256 @@
+package steer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+var engines = Site{Zone: "a", KVTokens: 260_000}
+
+// fleetOf returns n ready engines that hold the model m.
+func fleetOf(n int) []*Target {
+	out := make([]*Target, n)
+	for i := range out {
+		out[i] = &Target{
+			ID: fmt.Sprintf("t%d", i), Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a",
+			Ready: true, Slots: 64, Models: map[string]*Model{"m": {Adapters: map[string]bool{}}},
+		}
+	}
+	return out
+}
+
+func all(*Target) bool { return false }
+
+// draft is a long prompt that shares two parts with others of the same document.
+func draft(document, own uint64) *Request {
+	return &Request{
+		Model: "m", PromptTokens: 9200, OutputTokens: 50,
+		Parts: []Part{{1, 2500}, {100 + document, 3800}, {10_000 + own, 2900}},
+	}
+}
+
+func chat(session uint64) *Request {
+	return &Request{
+		Model: "m", PromptTokens: 800, OutputTokens: 290,
+		Parts: []Part{{2, 120}, {3, 80}, {20_000 + session, 600}},
+	}
+}
+
+// Pattern: requests with shared prompts, one after the other. Guards against
+// prompts that every engine reads again.
+func TestSharedPromptsMeetTheirCache(t *testing.T) {
+	targets := fleetOf(8)
+	now := start
+	read := 0
+	for i := range 200 {
+		now = now.Add(500 * time.Millisecond)
+		r := draft(uint64(i%10), uint64(i))
+		c := Pick(now, engines, r, targets, all)
+		read += c.MissTokens
+		c.Target.Begin(now, r, engines, c.MissTokens)
+		c.Target.First(now, 100*time.Millisecond, c.Wait, c.MissTokens)
+		c.Target.End(r, c.MissTokens, true)
+	}
+	// 200 own parts, and at most 3 readings of each of 10 documents.
+	assert.Assert(t, read <= 200*2900+30*6300, "read %d tokens", read)
+}
+
+// Pattern: two entry instances that have not spoken yet. Guards against a first
+// choice that differs, so that each document is read once per instance.
+func TestInstancesAgreeOnTheFirstTarget(t *testing.T) {
+	for document := range uint64(20) {
+		a := Pick(start, engines, draft(document, 1), fleetOf(8), all)
+		b := Pick(start, engines, draft(document, 2), fleetOf(8), all)
+		assert.Equal(t, a.Target.ID, b.Target.ID)
+	}
+}
+
+// Pattern: many prompts of one document at once. Guards against a target that
+// drowns because it has the cache.
+func TestCrestOfOneDocumentSpreads(t *testing.T) {
+	targets := fleetOf(4)
+	for i := range 40 {
+		r := draft(1, uint64(i))
+		c := Pick(start, engines, r, targets, all)
+		c.Target.Begin(start, r, engines, c.MissTokens)
+	}
+	for _, x := range targets {
+		assert.Assert(t, x.Own.Running >= 4 && x.Own.Running <= 20, "%s runs %d", x.ID, x.Own.Running)
+	}
+}
+
+// Pattern: short chats beside long drafts. Guards against streams that pause
+// while the prompts of drafts are read beside them, although there are targets
+// that read few.
+func TestChatsAvoidTargetsThatReadPrompts(t *testing.T) {
+	targets := fleetOf(4)
+	targets[0].Others.PromptRate, targets[1].Others.PromptRate = 20_000, 20_000
+	for i := range 20 {
+		r := chat(uint64(i))
+		c := Pick(start, engines, r, targets, all)
+		c.Target.Begin(start, r, engines, c.MissTokens)
+		assert.Assert(t, c.Target == targets[2] || c.Target == targets[3], "chose %s", c.Target.ID)
+	}
+}
+
+// Pattern: a long draft beside many running streams. Guards against one prompt
+// that delays all of them when another target runs none.
+func TestDraftsAvoidTargetsWithManyStreams(t *testing.T) {
+	targets := fleetOf(2)
+	targets[0].Others.Running = 30
+	c := Pick(start, engines, draft(1, 1), targets, all)
+	assert.Equal(t, c.Target, targets[1])
+}
+
+// Pattern: a target that is down. Guards against requests that keep failing there
+// while others could serve them, and against refusing all when there is no other.
+func TestUnreachedTargetIsLeftAlone(t *testing.T) {
+	targets := fleetOf(2)
+	first := Pick(start, engines, draft(1, 1), targets, all).Target
+	first.Failed(start, true)
+	for i := range uint64(10) {
+		assert.Assert(t, Pick(start, engines, draft(1, i), targets, all).Target != first)
+	}
+	for _, x := range targets {
+		x.Failed(start, true)
+	}
+	assert.Assert(t, Pick(start, engines, draft(1, 1), targets, all).Target != nil)
+	late := start.Add(avoidMax * 4)
+	assert.Equal(t, Pick(late, engines, draft(1, 1), targets, all).Candidates, 2)
+}
+
+// Pattern: a target whose health looks good fails part of its requests. Guards
+// against a share of the traffic that stays with it.
+func TestFailingTargetLosesTraffic(t *testing.T) {
+	targets := fleetOf(3)
+	for i := range targets {
+		targets[i].Models = nil
+	}
+	for range 3 {
+		targets[0].Failed(start, false)
+	}
+	for range 20 {
+		c := Pick(start, Site{Zone: "a"}, &Request{}, targets, all)
+		assert.Assert(t, c.Target != targets[0])
+		c.Target.Begin(start, &Request{}, Site{}, 0)
+	}
+}
+
+// Guards against requests for a model that is being unloaded or still loads, and
+// for a target that leaves.
+func TestOnlyHoldersAreChosen(t *testing.T) {
+	targets := fleetOf(4)
+	targets[0].Models["m"].Leaving = true
+	targets[1].Models["m"].ReadyAt = start.Add(time.Second)
+	targets[2].Ready = false
+	for i := range uint64(10) {
+		assert.Equal(t, Pick(start, engines, draft(i, i), targets, all).Target, targets[3])
+	}
+	until, ok := LoadingUntil("m", targets)
+	assert.Assert(t, ok)
+	assert.Equal(t, until, start.Add(time.Second))
+	c := Pick(start, engines, draft(1, 1), targets, func(x *Target) bool { return x == targets[3] })
+	assert.Assert(t, c.Target == nil)
+}
+
+// Guards against counts that do not return to zero: a target would look loaded
+// for ever.
+func TestCountsReturnToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		targets := fleetOf(3)
+		type run struct {
+			c       Choice
+			r       *Request
+			started bool
+		}
+		var open []run
+		now := start
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+			switch k := rapid.IntRange(0, 2).Draw(t, "step"); {
+			case k == 0 || len(open) == 0:
+				r := draft(uint64(i%4), uint64(i))
+				c := Pick(now, engines, r, targets, all)
+				c.Target.Begin(now, r, engines, c.MissTokens)
+				open = append(open, run{c: c, r: r})
+			case k == 1:
+				x := &open[len(open)-1]
+				if !x.started {
+					x.c.Target.First(now, time.Second, x.c.Wait, x.c.MissTokens)
+					x.started = true
+				}
+			default:
+				x := open[0]
+				open = open[1:]
+				x.c.Target.End(x.r, x.c.MissTokens, x.started)
+			}
+		}
+		for _, x := range open {
+			x.c.Target.End(x.r, x.c.MissTokens, x.started)
+		}
+		for _, x := range targets {
+			x.Own.PromptRate = 0
+			if x.Own != (Load{}) {
+				t.Fatalf("%s keeps %+v", x.ID, x.Own)
+			}
+		}
+	})
+}
+
+// Guards against more resends in any window than the budget allows.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Budget{Ratio: 0.2, Slack: 3, Window: 10 * time.Second}
+		now := start
+		var requests, resends []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests = append(requests, now)
+			} else if b.Take(now) {
+				resends = append(resends, now)
+			}
+		}
+		within := func(list []time.Time, end time.Time, span time.Duration) (n int) {
+			for _, x := range list {
+				if !x.After(end) && end.Sub(x) < span {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range resends {
+			// The window is counted in tenths; a span of nine is surely covered.
+			if got := within(resends, end, 9*time.Second); float64(got) > 0.2*float64(within(requests, end, 10*time.Second))+3 {
+				t.Fatalf("%d resends in the window before %v", got, end)
+			}
+		}
+	})
+}
+
+// Guards against demand that is reported after it has ended, or not at all while
+// requests wait.
+func TestDemand(t *testing.T) {
+	var d Demand
+	for i := range 10 {
+		d.Add(start.Add(time.Duration(i)*100*time.Millisecond), draft(1, uint64(i)), 4000)
+	}
+	now := start.Add(time.Second)
+	report := d.Report(now)
+	assert.Equal(t, len(report), 1)
+	// 10 requests of about 0.1 s within one second.
+	work := report[0].GetWorkMicrosPerSecond() / 1e6
+	assert.Assert(t, work > 0.3 && work < 1.2, "work %f", work)
+	d.Wait(now, "rare", 1)
+	assert.Equal(t, len(d.Report(now)), 2)
+	d.Wait(now, "rare", -1)
+	assert.Equal(t, len(d.Report(now.Add(time.Minute))), 0)
+}
