--- a/lib/relay/exchange.go
+++ b/lib/relay/exchange.go
@@ -73,11 +73,17 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
+	p.hear(t)
+	w := p.watchConn(ctx, c)
 	fail := func(sent bool, err error) (*Answer, error) {
 		stop()
+		silent := w.stop()
 		p.drop(c)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			err = ctx.Err()
+		case silent:
+			err = ErrSilent
 		}
 		return nil, &Error{Sent: sent, Reused: c.reused, Err: err}
 	}
@@ -88,7 +94,8 @@
 	if err != nil {
 		return fail(true, err)
 	}
-	b := &body{pool: p, conn: c, stop: stop, res: res, ctx: ctx}
+	p.hear(t)
+	b := &body{pool: p, conn: c, stop: stop, watch: w, res: res, ctx: ctx}
 	b.keep = !res.Close && (res.ContentLength >= 0 || chunked(res))
 	c.keep = keepAlive(res.Header)
 	return &Answer{
@@ -162,8 +169,10 @@
 	pool *Pool
 	conn *conn
 	stop func() bool
-	res  *http.Response
-	ctx  context.Context
+	// watch is stopped before the connection is given back.
+	watch *watch
+	res   *http.Response
+	ctx   context.Context
 	// keep says that the connection may be reused after the end of the body.
 	keep  bool
 	ended bool
@@ -174,11 +183,16 @@
 // an end before the announced length is another error.
 func (b *body) Read(dst []byte) (int, error) {
 	n, err := b.res.Body.Read(dst)
+	if n > 0 {
+		b.pool.hear(b.conn.target)
+	}
 	switch {
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
 		b.ended = true
 	case err != nil && b.ctx.Err() != nil:
 		err = b.ctx.Err()
+	case err != nil && b.watch.ended():
+		err = ErrSilent
 	}
 	return n, err
 }
@@ -190,7 +204,8 @@
 	}
 	b.done = true
 	live := b.stop()
-	if b.ended && b.keep && live && b.ctx.Err() == nil {
+	silent := b.watch.stop()
+	if b.ended && b.keep && live && !silent && b.ctx.Err() == nil {
 		_ = b.conn.SetDeadline(time.Time{})
 		b.pool.put(b.conn)
 		return nil
--- a/lib/relay/pool.go
+++ b/lib/relay/pool.go
@@ -58,6 +58,10 @@
 	idle []*conn
 	// open counts idle and busy connections.
 	open int
+	// heard is when the target last sent something or accepted a connection.
+	heard time.Time
+	// probing is closed when the probe under way ends; nil if there is none.
+	probing chan struct{}
 }
 
 // conn is one connection; it carries one exchange at a time.
@@ -137,6 +141,7 @@
 		p.forget(t)
 		return nil, fmt.Errorf("dial %s: %w", t.Addr, err)
 	}
+	p.hear(t)
 	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBuffer), target: t, keep: idleDefault}, nil
 }
 
@@ -171,6 +176,14 @@
 	p.forget(c.target)
 }
 
+// Idle says that a connection to the target waits for a request.
+func (p *Pool) Idle(t Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[t]
+	return h != nil && len(h.idle) > 0 && time.Now().Before(h.idle[len(h.idle)-1].until)
+}
+
 // Retain closes the idle connections to all targets for which keep is false.
 func (p *Pool) Retain(keep func(Target) bool) {
 	p.mu.Lock()
--- /dev/null
+++ b/lib/relay/silence_test.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a stream that waits for a target which has died without closing
+// its connections, until the client gives up.
+func TestSilentTarget(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 100\r\n\r\npart"
+	for _, c := range []struct {
+		name, answer string
+	}{
+		{"before the answer", "wait"},
+		{"within the answer", head},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var dead atomic.Bool
+			release := make(chan struct{})
+			s := newTarget(t, func(int, string) string {
+				if c.answer == "wait" {
+					<-release
+				}
+				return c.answer
+			})
+			p := NewPool(WithDial(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+				if dead.Load() {
+					sleep(ctx, dialTimeout)
+					return nil, errors.New("no answer")
+				}
+				var d net.Dialer
+				return d.DialContext(ctx, "tcp", addr.String())
+			}))
+			t.Cleanup(func() { _ = p.Close() })
+			t.Cleanup(func() { close(release) })
+			time.AfterFunc(100*time.Millisecond, func() { dead.Store(true) })
+			begun := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			a, err := p.Do(ctx, Target{ID: "t", Addr: s.addr}, 0, get("1"))
+			if err == nil {
+				_, err = io.ReadAll(a.Body)
+				assert.NilError(t, a.Body.Close())
+			}
+			assert.ErrorIs(t, err, ErrSilent)
+			assert.Assert(t, time.Since(begun) < 5*time.Second)
+		})
+	}
+}
+
+// Guards against a slow target that is taken for a dead one.
+func TestSlowTargetIsAwaited(t *testing.T) {
+	s := newTarget(t, func(_ int, id string) string {
+		time.Sleep(4 * stallAfter)
+		return whole(id, "own")
+	})
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	a, err := p.Do(ctx, Target{ID: "t", Addr: s.addr}, 0, get("1"))
+	assert.NilError(t, err)
+	_, err = io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
+}
--- a/lib/steer/steer.go
+++ b/lib/steer/steer.go
@@ -24,6 +24,8 @@
 	adapterCost = 30 * time.Millisecond
 	// zoneCost is the price of leaving the zone, as time.
 	zoneCost = 2 * time.Millisecond
+	// connCost is the price of a new connection, as time.
+	connCost = 10 * time.Millisecond
 	// fullCost is added to a target whose slots or memory are taken.
 	fullCost = 2 * time.Second
 	// errorCost is added in proportion to the failing share of recent requests.
@@ -137,6 +139,8 @@
 	Zone string
 	// KVTokens is the memory of an engine in tokens; 0 for plain services.
 	KVTokens int
+	// Idle says that a connection to the target waits; nil if that is not known.
+	Idle func(t *Target) bool
 }
 
 // Choice is a chosen target with what decided.
@@ -253,6 +257,9 @@
 		wait += float64(fullCost) * float64(running-t.Slots+1) / float64(t.Slots)
 	}
 	wait += failing * float64(errorCost)
+	if s.Idle != nil && !s.Idle(t) {
+		wait += float64(connCost)
+	}
 	if t.Zone != s.Zone {
 		wait += float64(zoneCost)
 	}
