--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -21,6 +21,14 @@
 	// free memory, or in place of a copy that is hardly used, but not in place of
 	// one that a crest of demand needs.
 	idleNeed = 0.4
+	// crowded is the work per copy above which a model gives up no copy for one that
+	// is asked for less.
+	crowded = 0.6
+	// cheap is the cost up to which a copy makes way although there is room elsewhere
+	// as soon as an order ends.
+	cheap = 0.1
+	// lastCopyCost ranks the last copy of an idle model after copies that cost less.
+	lastCopyCost = 0.5
 	// settle is how long a copy stays before it may make way.
 	settle = 4 * time.Second
 	// storeBurst is the number of loads from the weight store that may begin at once.
@@ -222,26 +230,20 @@
 // then has room for the model.
 func makeRoom(v View, list []*need, n *need) *Target {
 	want := n.perCopy(n.copies + n.loading)
+	soon := roomSoon(v, n.model)
 	var best *Target
 	victim, bestCost := "", 0.0
 	for _, t := range v.Targets {
 		if !free(v, t, n.model) {
 			continue
 		}
-		used := t.UsedMB(v.Engine) + n.model.MB - v.Engine.MemoryMB
+		short := t.UsedMB(v.Engine) + n.model.MB - v.Engine.MemoryMB
 		for name, c := range t.Copies {
-			x := find(list, name)
-			if !c.LeavingSince.IsZero() || v.Now.Sub(c.Since) < settle || sizeOf(v.Engine, name) < used {
+			if !c.LeavingSince.IsZero() || v.Now.Sub(c.Since) < settle || sizeOf(v.Engine, name) < short {
 				continue
 			}
-			cost := 0.0
-			if x != nil {
-				if x.copies < 2 {
-					continue
-				}
-				cost = x.perCopy(x.copies - 1)
-			}
-			if cost*richer > want {
+			cost, ok := victimCost(t, name, find(list, name), n)
+			if !ok || cost*richer > want || soon && cost > cheap {
 				continue
 			}
 			cost += rank(v, t, n) * 0.01
@@ -258,6 +260,34 @@
 	return best
 }
 
+// victimCost is what the unload of a copy costs: the work that each remaining
+// copy then carries. ok is false if the copy must stay.
+func victimCost(t *Target, name string, x, n *need) (cost float64, ok bool) {
+	switch {
+	case x == nil:
+		// The model is no longer declared.
+		return 0, true
+	case x.copies >= 2:
+		cost = x.perCopy(x.copies - 1)
+		return cost, cost <= crowded || n.demand.Work > cost
+	}
+	// The last copy of a model that nobody asks for may make way for one that is
+	// asked for: it comes back from the target's disk within about a second.
+	idle := x.copies == 1 && x.loading == 0 && x.demand == Demand{}
+	asked := n.copies+n.loading == 0 && n.demand != Demand{}
+	return lastCopyCost, idle && asked && t.Cached[name]
+}
+
+// roomSoon says that a target has room for the model as soon as its order ends.
+func roomSoon(v View, m *site.Model) bool {
+	for _, t := range v.Targets {
+		if t.Order != nil && t.Copies[m.Name] == nil && t.UsedMB(v.Engine)+m.MB <= v.Engine.MemoryMB {
+			return true
+		}
+	}
+	return false
+}
+
 func find(list []*need, name string) *need {
 	for _, n := range list {
 		if n.model.Name == name {
--- a/lib/scale/scale_test.go
+++ b/lib/scale/scale_test.go
@@ -236,3 +236,22 @@
 	_, _, ok = x.Stale(start.Add(-time.Second))
 	assert.Assert(t, !ok)
 }
+
+// Pattern: rare models are asked for while engines that were lost come back.
+// Guards against copies of crowded models that make way although there is room
+// soon, and against a rare model that gets none.
+func TestRareModelsWaitForRoomThatComes(t *testing.T) {
+	w := newWorld(4, 8)
+	for i := range 3 {
+		w.hold(i, "m00", "m01", fmt.Sprintf("m%02d", i+2))
+	}
+	w.hold(3, "m05")
+	w.demand["m00"], w.demand["m01"] = Demand{Work: 3}, Demand{Work: 3}
+	w.demand["m06"] = Demand{Work: 0.01, Waiting: 1}
+	w.demand["m07"] = Demand{Work: 0.01, Waiting: 1}
+	for range int(12 * time.Second / tick) {
+		w.step()
+		assert.Assert(t, w.copies("m00") >= 3 && w.copies("m01") >= 3)
+	}
+	assert.Assert(t, w.copies("m06") >= 1 && w.copies("m07") >= 1)
+}
