Let engines copy cached prompts from one another

Cause: a fifth of all prompt tokens were read again although another engine had them; reading them slows the streams beside them.

--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -210,6 +210,7 @@
 	}}
 	if c.service.Engine != nil {
 		s.KVTokens = c.service.Engine.KVTokens
+		s.CopyRate = c.service.Engine.CopyRate()
 	}
 	return s
 }
@@ -256,7 +257,7 @@
 		}
 	}
 	c.noteAdapter(t)
-	c.stamp(t)
+	c.stamp(choice)
 	c.attempts++
 	sentAt := time.Now()
 	answer, err := c.g.conns.Do(ctx, relay.Target{ID: t.ID, Addr: t.Addr}, c.connLimit(), c.out)
@@ -347,10 +348,14 @@
 }
 
 // stamp sets the headers that the system adds for one send.
-func (c *call) stamp(t *steer.Target) {
+func (c *call) stamp(choice steer.Choice) {
 	left := max(time.Until(c.deadline), time.Millisecond)
 	c.out.Header.Set(c.g.headers.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
-	c.out.Header.Set(c.g.headers.Target, t.ID)
+	c.out.Header.Set(c.g.headers.Target, choice.Target.ID)
+	c.out.Header.Del(c.g.headers.CopyFrom)
+	if choice.Source != nil {
+		c.out.Header.Set(c.g.headers.CopyFrom, choice.Source.Addr.String())
+	}
 	if c.prompt.Model != "" {
 		c.out.Header.Set(c.g.headers.Priority, strconv.Itoa(c.route.Urgency()))
 	}
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -40,6 +40,8 @@
 	NotRun string
 	// Priority holds the rank of a request at an engine, 0 first.
 	Priority string
+	// CopyFrom holds the address of a target whose cache of the prompt is to be copied.
+	CopyFrom string
 	// Seal marks an answer that a target made.
 	Seal string
 	// Reserved lists headers that only the system may set; they are removed from
--- a/lib/site/config.go
+++ b/lib/site/config.go
@@ -112,6 +112,10 @@
 	Slots int
 	// KVTokens is the memory of an engine for running requests and cached prompts.
 	KVTokens int
+	// TokenBytes is the size of one cached token, and LinkMbps the rate at which
+	// engines copy caches from one another; 0 if they cannot.
+	TokenBytes float64
+	LinkMbps   float64
 	// MemoryMB is the memory of an engine for weights and adapters.
 	MemoryMB float64
 	// AdapterPlaces is the number of adapters that an engine holds.
@@ -142,6 +146,14 @@
 	return strings.Cut(name, "/")
 }
 
+// CopyRate is the number of cached tokens that engines copy in a millisecond.
+func (e *Engine) CopyRate() float64 {
+	if e.TokenBytes <= 0 {
+		return 0
+	}
+	return e.LinkMbps * 1e6 / 8 / e.TokenBytes / 1000
+}
+
 // Model returns the model of that name; nil if the engines do not hold it.
 func (e *Engine) Model(name string) *Model {
 	for i := range e.Models {
--- a/lib/steer/steer.go
+++ b/lib/steer/steer.go
@@ -20,6 +20,10 @@
 	// priorShare is the share of a prompt that the first target by rendezvous hash
 	// is assumed to have cached, because other entry instances send it there too.
 	priorShare = 0.5
+	// minCopy is the number of tokens below which copying a cached prompt does not pay,
+	// and copyMillis the time that a copy takes to begin.
+	minCopy    = 1000
+	copyMillis = 5.0
 	// adapterCost is the time to fetch an adapter that a target lacks.
 	adapterCost = 30 * time.Millisecond
 	// zoneCost is the price of leaving the zone, as time.
@@ -139,6 +143,9 @@
 	Zone string
 	// KVTokens is the memory of an engine in tokens; 0 for plain services.
 	KVTokens int
+	// CopyRate is the number of tokens of cached prompts that engines copy from one
+	// another in a millisecond; 0 if they cannot.
+	CopyRate float64
 	// Idle says that a connection to the target waits; nil if that is not known.
 	Idle func(t *Target) bool
 }
@@ -150,6 +157,9 @@
 	Wait time.Duration
 	// MissTokens is the part of the prompt that the target must read.
 	MissTokens int
+	// Source is a target from whose cache the chosen one should copy what it lacks of
+	// the prompt; nil if reading it is as good.
+	Source *Target
 	// NeedsAdapter says that the adapter must be fetched first.
 	NeedsAdapter bool
 	// Candidates is the number of targets that could have been chosen.
@@ -160,7 +170,7 @@
 // can take the request now. skip leaves out targets that were tried.
 func Pick(now time.Time, s Site, r *Request, targets []*Target, skip func(*Target) bool) Choice {
 	chain := r.chain()
-	first := rendezvous(r, chain, targets)
+	src := findSource(now, r, chain, targets)
 	var best Choice
 	n := 0
 	for pass := range 2 {
@@ -169,7 +179,7 @@
 				continue
 			}
 			n++
-			c := t.estimate(now, s, r, chain, t == first)
+			c := t.estimate(now, s, r, chain, src)
 			if best.Target == nil || c.Wait < best.Wait || c.Wait == best.Wait && tie(t, best.Target, now) {
 				best = c
 			}
@@ -221,19 +231,65 @@
 	return best
 }
 
-func (t *Target) estimate(now time.Time, s Site, r *Request, chain []uint64, preferred bool) Choice {
+// source is where a prompt is likely to be cached.
+type source struct {
+	// first is the target that all entry instances prefer for the prompt.
+	first *Target
+	// holder is the target known to have cached most of it, hit the tokens that it
+	// has; nil if none is known.
+	holder *Target
+	hit    int
+}
+
+func findSource(now time.Time, r *Request, chain []uint64, targets []*Target) source {
+	src := source{first: rendezvous(r, chain, targets)}
+	for _, t := range targets {
+		if !t.holds(r.Model) || now.Before(t.avoidUntil) {
+			continue
+		}
+		if hit := t.cache.hit(r, chain); hit > src.hit {
+			src.holder, src.hit = t, hit
+		}
+	}
+	return src
+}
+
+// plan decides what the target reads of a prompt and what it copies from another
+// one, and returns the expected time of both.
+func (t *Target) plan(s Site, r *Request, chain []uint64, src source, c *Choice) float64 {
+	hit := t.cache.hit(r, chain)
+	c.MissTokens = max(r.PromptTokens-hit, 0)
+	from, tokens := src.holder, src.hit-hit
+	if from == nil && src.first != t {
+		from, tokens = src.first, int(priorShare*float64(sharedTokens(r)))
+	}
+	read := float64(c.MissTokens) / prefillPerMilli
+	if t == src.first && hit == 0 {
+		read -= priorShare * float64(sharedTokens(r)) / prefillPerMilli
+	}
+	if from == nil || from == t || tokens < minCopy || s.CopyRate <= 0 {
+		return read
+	}
+	rate := s.CopyRate
+	if from.Zone != t.Zone {
+		rate /= 2
+	}
+	copied := float64(tokens)/rate + copyMillis
+	if copied >= float64(tokens)/prefillPerMilli {
+		return read
+	}
+	c.Source = from
+	c.MissTokens -= tokens
+	return read - float64(tokens)/prefillPerMilli + copied
+}
+
+func (t *Target) estimate(now time.Time, s Site, r *Request, chain []uint64, src source) Choice {
 	c := Choice{Target: t}
 	running := t.Own.Running + t.Others.Running
 	wait := 0.0
 	if r.Model != "" {
-		hit := t.cache.hit(r, chain)
-		c.MissTokens = max(r.PromptTokens-hit, 0)
-		miss := float64(c.MissTokens)
-		if preferred && hit == 0 {
-			miss -= priorShare * float64(sharedTokens(r))
-		}
 		pending := float64(t.Own.PromptTokens + t.Others.PromptTokens)
-		wait = (miss + pending) / prefillPerMilli * float64(time.Millisecond)
+		wait = (t.plan(s, r, chain, src, &c) + pending/prefillPerMilli) * float64(time.Millisecond)
 		wait += float64(running) * float64(runningCost)
 		long := min(float64(c.MissTokens)/longPrompt, 1)
 		wait += long * float64(running) * float64(streamCost)
