--- a/control/fleet.go
+++ b/control/fleet.go
@@ -59,6 +59,8 @@
 	stations map[string]*station
 	planners map[string]*scale.Planner
 	entries  map[string]*entryState
+	// prompts are the cached prompts reported last.
+	prompts promptLog
 	// index is the decoded document of indexVersion.
 	index        *site.Index
 	indexVersion uint64
@@ -109,6 +111,7 @@
 	f.stations = make(map[string]*station)
 	f.planners = make(map[string]*scale.Planner)
 	f.entries = make(map[string]*entryState)
+	f.prompts = promptLog{}
 	f.table = fleet.New(now, term, f.records)
 }
 
@@ -314,6 +317,12 @@
 	}
 	f.svc.machineMu.RUnlock()
 	reply.Control = f.control
+	f.prompts.add(req.GetName(), req.GetCached())
+	held := req.GetCachedSequence()
+	if req.GetTerm() != term {
+		held = 0
+	}
+	reply.Cached, reply.CachedSequence = f.prompts.since(req.GetName(), held)
 	return reply, term, nil
 }
 
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -198,7 +198,9 @@
 	t := choice.Target
 	c.decision.prompt = t.Own.PromptTokens + t.Others.PromptTokens
 	c.decision.running = t.Own.Running + t.Others.Running
-	t.Begin(now, &c.prompt, s, choice.MissTokens)
+	for _, x := range t.Begin(now, &c.prompt, s, choice.MissTokens) {
+		c.g.noteCached(t.ID, x)
+	}
 	c.decision.target, c.decision.wait = choice.Target.ID, choice.Wait
 	c.decision.miss, c.decision.choices = choice.MissTokens, choice.Candidates
 	return choice, time.Time{}
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -18,6 +18,7 @@
 	"bulrushpath.example/lib/relay"
 	"bulrushpath.example/lib/site"
 	"bulrushpath.example/lib/steer"
+	"bulrushpath.example/lib/wire"
 )
 
 const (
@@ -89,6 +90,10 @@
 	control []netip.AddrPort
 	// leader is the address that answered last.
 	leader netip.AddrPort
+	// cached holds the prompts that were first sent to a target since the last report,
+	// cachedSeen numbers the last one heard of from other instances.
+	cached     []*wire.CachedPrompt
+	cachedSeen uint64
 	// adapters holds the adapters used since the last report, by target.
 	adapters map[string]map[string]bool
 }
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -10,6 +10,7 @@
 
 	"bulrushpath.example/lib/link"
 	"bulrushpath.example/lib/site"
+	"bulrushpath.example/lib/steer"
 	"bulrushpath.example/lib/wire"
 )
 
@@ -94,6 +95,8 @@
 	req.Loads = g.fleet.loads(now, g.adapters)
 	clear(g.adapters)
 	req.Demand = g.demand.Report(now)
+	req.Cached, req.CachedSequence = g.cached, g.cachedSeen
+	g.cached = nil
 	return req
 }
 
@@ -133,6 +136,7 @@
 			Strs("gone", gone).Msg("")
 	}
 	g.setBudget(int(reply.GetEntries()))
+	g.takeCached(reply)
 	g.control = g.control[:0]
 	for _, text := range reply.GetControl() {
 		if addr, err := netip.ParseAddrPort(text); err == nil {
@@ -143,6 +147,34 @@
 	g.changed = make(chan struct{})
 }
 
+// maxCached bounds the cached prompts in one report.
+const maxCached = 256
+
+// noteCached notes a prompt for the next report; the caller holds mu.
+func (g *Gate) noteCached(target string, x steer.Cached) {
+	if len(g.cached) < maxCached {
+		g.cached = append(g.cached, &wire.CachedPrompt{Target: target, Key: x.Key, Tokens: uint32(x.Tokens)})
+	}
+}
+
+// takeCached learns where other instances have sent prompts; the caller holds mu.
+func (g *Gate) takeCached(reply *wire.FleetReply) {
+	g.cachedSeen = reply.GetCachedSequence()
+	index := g.index.Load()
+	if index == nil {
+		return
+	}
+	for _, x := range reply.GetCached() {
+		t := g.fleet.targets[x.GetTarget()]
+		if t == nil {
+			continue
+		}
+		if s := index.Service(t.Service); s != nil && s.Engine != nil {
+			t.Learn(steer.Cached{Key: x.GetKey(), Tokens: int(x.GetTokens())}, steer.Site{KVTokens: s.Engine.KVTokens})
+		}
+	}
+}
+
 // ask calls the control leader, following redirects; each instance is tried once.
 func (g *Gate) ask(ctx context.Context, timeout time.Duration,
 	fn func(ctx context.Context, c wire.DRPCFleetClient) error,
--- a/lib/steer/cache.go
+++ b/lib/steer/cache.go
@@ -15,6 +15,14 @@
 	tokens int
 }
 
+// Cached is the beginning of a prompt that a target keeps.
+type Cached struct {
+	// Key is a hash over model, adapter and the parts up to its end.
+	Key uint64
+	// Tokens is the length of its last part.
+	Tokens int
+}
+
 type cacheItem struct {
 	key    uint64
 	tokens int
@@ -32,23 +40,38 @@
 	return n
 }
 
-// add notes that the engine reads the prompt; limit bounds the tokens kept.
-func (c *cache) add(r *Request, chain []uint64, limit int) {
-	if len(chain) == 0 {
-		return
+// add notes that the engine reads the prompt; limit bounds the tokens kept. It
+// returns the shared beginnings that were not known before.
+func (c *cache) add(r *Request, chain []uint64, limit int) (fresh []Cached) {
+	for i, key := range chain {
+		if c.put(Cached{Key: key, Tokens: r.Parts[i].Tokens}) && i < len(chain)-1 {
+			fresh = append(fresh, Cached{Key: key, Tokens: r.Parts[i].Tokens})
+		}
 	}
+	c.trim(limit, len(chain))
+	return fresh
+}
+
+// put notes one beginning; true means that it was not known.
+func (c *cache) put(x Cached) bool {
 	if c.items == nil {
 		c.order, c.items = list.New(), make(map[uint64]*list.Element)
 	}
-	for i, key := range chain {
-		if e := c.items[key]; e != nil {
-			c.order.MoveToFront(e)
-			continue
-		}
-		c.items[key] = c.order.PushFront(&cacheItem{key: key, tokens: r.Parts[i].Tokens})
-		c.tokens += r.Parts[i].Tokens
+	if e := c.items[x.Key]; e != nil {
+		c.order.MoveToFront(e)
+		return false
+	}
+	c.items[x.Key] = c.order.PushFront(&cacheItem{key: x.Key, tokens: x.Tokens})
+	c.tokens += x.Tokens
+	return true
+}
+
+// trim forgets the oldest beginnings above limit, but keeps the newest ones.
+func (c *cache) trim(limit, keep int) {
+	if c.items == nil {
+		return
 	}
-	for c.tokens > limit && c.order.Len() > len(chain) {
+	for c.tokens > limit && c.order.Len() > keep {
 		e := c.order.Back()
 		x := e.Value.(*cacheItem)
 		c.order.Remove(e)
--- a/lib/steer/steer.go
+++ b/lib/steer/steer.go
@@ -364,14 +364,24 @@
 	return l
 }
 
-// Begin notes that the request goes to the target, with what Pick expected.
-func (t *Target) Begin(now time.Time, r *Request, s Site, miss int) {
+// cacheShare is the part of an engine's memory that is taken for cached prompts.
+const cacheShare = 0.6
+
+// Learn notes a prompt that another entry instance has sent to the target.
+func (t *Target) Learn(x Cached, s Site) {
+	t.cache.put(x)
+	t.cache.trim(int(float64(s.KVTokens)*cacheShare), 1)
+}
+
+// Begin notes that the request goes to the target, with what Pick expected. It
+// returns the shared beginnings of the prompt that are new to the target.
+func (t *Target) Begin(now time.Time, r *Request, s Site, miss int) []Cached {
 	t.Own.PromptRate = t.promptRate(now) + float64(miss)*math.Ln2/rateHalf.Seconds()
 	t.rateAt = now
 	t.Own.Running++
 	t.Own.PromptTokens += miss
 	t.Own.MemoryTokens += r.PromptTokens + r.OutputTokens
-	t.cache.add(r, r.chain(), s.KVTokens*6/10)
+	return t.cache.add(r, r.chain(), int(float64(s.KVTokens)*cacheShare))
 }
 
 // First notes the first output after the given time.
