--- a/lib/steer/steer.go
+++ b/lib/steer/steer.go
@@ -37,10 +37,10 @@
 	// longPrompt is the number of tokens to read above which a prompt slows the
 	// streams that run beside it, and streamCost is what that costs for each.
 	longPrompt = 3000.0
-	streamCost = 12 * time.Millisecond
+	streamCost = 25 * time.Millisecond
 	// busyCost is added to a short prompt at a target that reads prompts all the time:
 	// its stream would pause while they are read.
-	busyCost = 800 * time.Millisecond
+	busyCost = 1600 * time.Millisecond
 	// rateHalf is the half-life of Load.PromptRate.
 	rateHalf = 2 * time.Second
 	// avoidMin and avoidMax bound how long a target is left alone after a failure
