--- a/control/fleet.go
+++ b/control/fleet.go
@@ -124,6 +124,7 @@
 	}
 	if term > f.term {
 		f.reset(time.Now(), term)
+		f.recall(time.Now())
 	}
 	return term, nil
 }
@@ -218,7 +219,7 @@
 			Str("outcome", outcome.String()).Msg("")
 	}
 	if a.Draining && changed {
-		f.spread(ctx, version)
+		f.spread(ctx, a.ID, version)
 	}
 	return nil
 }
@@ -235,13 +236,16 @@
 	f.mu.Unlock()
 	if changed {
 		f.log.Info().Str("event", "targetLeft").Str("target", id).Msg("")
-		f.spread(ctx, version)
+		f.spread(ctx, id, version)
 	}
 	return nil
 }
 
 // spread waits until every live entry instance was told the table of version.
-func (f *Fleet) spread(ctx context.Context, version uint64) {
+func (f *Fleet) spread(ctx context.Context, id string, version uint64) {
+	if err := f.enlist(ctx, id); err != nil {
+		f.log.Warn().Str("event", "leavingNotListed").Str("target", id).Err(err).Msg("")
+	}
 	end := time.Now().Add(newsWait)
 	for ctx.Err() == nil && time.Now().Before(end) && !f.told(version) {
 		time.Sleep(newsPoll)
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -387,3 +387,60 @@
 	assert.Equal(t, reply.GetLoads()[0].GetRunning(), uint32(3))
 	assert.Equal(t, reply.GetLoads()[0].GetPromptTokens(), uint64(20))
 }
+
+// Guards against a new leader that knows no target until each has announced
+// itself again, against one that lists a target that has left, and against listed
+// targets that stay for ever.
+func TestNewLeaderRecallsTargets(t *testing.T) {
+	e := newFakeEngine()
+	e.models["m0"] = map[string]bool{}
+	f := startFleet(t, e)
+	announce(t, f, e, 1)
+	assert.NilError(t, f.enlist(t.Context(), ""))
+	f.svc.group.Leading = func() (uint64, bool) { return 2, true }
+	report := func() *wire.FleetReply {
+		reply, err := f.Report(t.Context(), &wire.FleetRequest{Protocol: link.Protocol, Name: "e1", DocumentVersion: 3})
+		assert.NilError(t, err)
+		return reply
+	}
+	reply := report()
+	assert.Equal(t, len(reply.GetTargets()), 1)
+	assert.Equal(t, reply.GetTargets()[0].GetModels()[0].GetName(), "m0")
+	f.tick(time.Now().Add(recallLease + time.Second))
+	assert.Equal(t, len(report().GetTargets()), 0)
+
+	announce(t, f, e, 2)
+	assert.NilError(t, f.Leave(t.Context(), "t1"))
+	f.svc.group.Leading = func() (uint64, bool) { return 3, true }
+	assert.Equal(t, len(report().GetTargets()), 0)
+}
+
+// Guards against cached prompts that an instance hears twice, not at all, or of
+// its own.
+func TestPromptLog(t *testing.T) {
+	var l promptLog
+	prompt := func(key uint64) *wire.CachedPrompt { return &wire.CachedPrompt{Target: "t", Key: key} }
+	l.add("e1", []*wire.CachedPrompt{prompt(1), prompt(2)})
+	l.add("e2", []*wire.CachedPrompt{prompt(3)})
+	got, last := l.since("e1", 0)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].GetKey(), uint64(3))
+	got, last = l.since("e1", last)
+	assert.Equal(t, len(got), 0)
+	assert.Equal(t, last, uint64(3))
+	for i := range uint64(2 * promptsKept) {
+		l.add("e2", []*wire.CachedPrompt{prompt(i)})
+	}
+	seen := 0
+	for held := last; ; {
+		got, next := l.since("e1", held)
+		seen += len(got)
+		if next == held {
+			break
+		}
+		held = next
+	}
+	assert.Equal(t, seen, promptsKept)
+	_, last = l.since("e1", 1<<60)
+	assert.Equal(t, last, l.sequence)
+}
--- /dev/null
+++ b/control/roster.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bulrushpath.example/lib/fleet"
+	"bulrushpath.example/lib/scale"
+	"bulrushpath.example/lib/wire"
+)
+
+const (
+	// rosterPeriod is the time between two updates of the durable list of targets.
+	rosterPeriod = time.Second
+	// rosterTimeout bounds the update before a target's leaving is acknowledged.
+	rosterTimeout = 300 * time.Millisecond
+	// recallLease is how long a listed target counts that has not announced itself
+	// to this leader.
+	recallLease = 3 * time.Second
+)
+
+// recall fills the tables of a new term with the listed targets, so that requests
+// reach them before they have announced themselves again. The caller holds mu.
+func (f *Fleet) recall(now time.Time) {
+	f.svc.machineMu.RLock()
+	listed := f.svc.machine.Roster()
+	f.svc.machineMu.RUnlock()
+	for _, r := range listed {
+		addr, err := netip.ParseAddrPort(r.GetAddress())
+		if err != nil {
+			f.log.Error().Str("event", "listedTargetUnreadable").Str("target", r.GetId()).Err(err).Msg("")
+			continue
+		}
+		a := fleet.Announcement{
+			ID: r.GetId(), Addr: addr, Zone: r.GetZone(), Service: r.GetService(),
+			Born: time.UnixMilli(r.GetBornMillis()), Slots: int(r.GetSlots()), HasModels: len(r.GetModels()) > 0,
+		}
+		var e EngineState
+		for _, m := range r.GetModels() {
+			a.Models = append(a.Models, fleet.Model{Name: m.GetName(), Adapters: m.GetAdapters()})
+			e.Held = append(e.Held, scale.Held{Model: m.GetName(), Adapters: m.GetAdapters()})
+		}
+		f.table.Announce(now.Add(recallLease-fleet.Lease), a)
+		if a.HasModels {
+			f.observe(now, a, e)
+		}
+	}
+	if len(listed) > 0 {
+		f.log.Info().Str("event", "targetsRecalled").Int("targets", len(listed)).Uint64("term", f.term).Msg("")
+	}
+}
+
+// unlisted returns how the durable list differs from the table. The caller holds mu.
+func (f *Fleet) unlisted() []*wire.FleetTarget {
+	f.svc.machineMu.RLock()
+	listed := f.svc.machine.Roster()
+	f.svc.machineMu.RUnlock()
+	before := make(map[string]*wire.FleetTarget, len(listed))
+	for _, r := range listed {
+		before[r.GetId()] = r
+	}
+	var out []*wire.FleetTarget
+	for _, a := range f.table.Live() {
+		r := rosterEntry(a)
+		if !proto.Equal(before[a.ID], r) {
+			out = append(out, r)
+		}
+		delete(before, a.ID)
+	}
+	for _, r := range before {
+		out = append(out, &wire.FleetTarget{Id: r.GetId(), BornMillis: r.GetBornMillis(), Removed: true})
+	}
+	return out
+}
+
+// rosterEntry is a target as the durable list holds it: without the adapters, which
+// change often and are read from the engine before they count.
+func rosterEntry(a fleet.Announcement) *wire.FleetTarget {
+	r := &wire.FleetTarget{
+		Id: a.ID, Address: a.Addr.String(), Zone: a.Zone, Service: a.Service,
+		Phase: wire.Phase_PHASE_READY, BornMillis: a.Born.UnixMilli(), Slots: uint32(a.Slots),
+	}
+	for _, m := range a.Models {
+		r.Models = append(r.Models, &wire.FleetModel{Name: m.Name})
+	}
+	slices.SortFunc(r.Models, func(x, y *wire.FleetModel) int {
+		if x.GetName() < y.GetName() {
+			return -1
+		}
+		return 1
+	})
+	return r
+}
+
+// enlist brings the durable list up to date, once the leader knows all targets or
+// one of them leaves.
+func (f *Fleet) enlist(ctx context.Context, leaving string) error {
+	f.mu.Lock()
+	if _, err := f.lead(); err != nil {
+		f.mu.Unlock()
+		return nil
+	}
+	warm := f.table.Warm(time.Now())
+	changes := f.unlisted()
+	f.mu.Unlock()
+	changes = slices.DeleteFunc(changes, func(r *wire.FleetTarget) bool {
+		return !warm && r.GetRemoved() && r.GetId() != leaving
+	})
+	if len(changes) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	_, err := f.svc.propose(ctx, &wire.Command{
+		Body: &wire.Command_Enlist{Enlist: &wire.Enlistment{Targets: changes}},
+	})
+	return err
+}
--- a/control/run.go
+++ b/control/run.go
@@ -40,6 +40,9 @@
 			f.tick(time.Now())
 			return nil
 		}})
+		tasks = append(tasks, daemon.Task{Name: "listTargets", Period: rosterPeriod, Run: func(ctx context.Context) error {
+			return f.enlist(ctx, "")
+		}})
 		register = func(mux *drpcmux.Mux) error {
 			if err := svc.register(mux); err != nil {
 				return err
--- /dev/null
+++ b/lib/state/roster.go
@@ -0,0 +1,52 @@
+package state
+
+import (
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"bulrushpath.example/lib/wire"
+)
+
+// maxRoster bounds the targets in the list.
+const maxRoster = 20_000
+
+// rosterTable is the durable list of targets: where a new leader, after the loss
+// of all instances, looks for them before they have announced themselves again.
+type rosterTable struct {
+	targets map[string]*wire.FleetTarget
+}
+
+// Roster returns the listed targets, ordered by id; the caller does not change them.
+func (m *Machine) Roster() []*wire.FleetTarget {
+	out := make([]*wire.FleetTarget, 0, len(m.roster.targets))
+	for _, t := range m.roster.targets {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b *wire.FleetTarget) int { return strings.Compare(a.GetId(), b.GetId()) })
+	return out
+}
+
+// enlist adds, replaces and removes targets. An incarnation never replaces or
+// removes a newer one.
+func (t *rosterTable) enlist(req *wire.Enlistment) *wire.EnlistReply {
+	for _, x := range req.GetTargets() {
+		old := t.targets[x.GetId()]
+		switch {
+		case x.GetId() == "" || old.GetBornMillis() > x.GetBornMillis():
+		case x.GetRemoved():
+			delete(t.targets, x.GetId())
+		case old != nil || len(t.targets) < maxRoster:
+			t.targets[x.GetId()] = proto.CloneOf(x)
+		}
+	}
+	return &wire.EnlistReply{Targets: uint32(len(t.targets))}
+}
+
+func (t *rosterTable) load(list []*wire.FleetTarget) {
+	t.targets = make(map[string]*wire.FleetTarget, len(list))
+	for _, x := range list {
+		t.targets[x.GetId()] = x
+	}
+}
--- a/lib/state/state.go
+++ b/lib/state/state.go
@@ -27,6 +27,7 @@
 
 	config       configTable
 	document     documentTable
+	roster       rosterTable
 	claims       claimTable
 	suspects     suspectTable
 	incarnations incarnationTable
@@ -95,6 +96,8 @@
 		var r *wire.PostReply
 		r, err = m.document.post(body.Post)
 		reply.Body = &wire.CommandReply_Post{Post: r}
+	case *wire.Command_Enlist:
+		reply.Body = &wire.CommandReply_Enlist{Enlist: m.roster.enlist(body.Enlist)}
 	case *wire.Command_Sweep:
 		reply.Body = &wire.CommandReply_Sweep{Sweep: m.sweep(body.Sweep)}
 	default:
@@ -125,6 +128,7 @@
 	s := &wire.StateSnapshot{Format: snapshotFormat, Applied: m.applied, NowUnixMillis: m.now}
 	m.config.save(s)
 	s.Document = m.document.current
+	s.Roster = m.Roster()
 	m.claims.save(s)
 	m.suspects.save(s)
 	m.incarnations.save(s)
@@ -152,6 +156,7 @@
 	m.applied, m.now = s.GetApplied(), s.GetNowUnixMillis()
 	m.config.load(s)
 	m.document.current = s.GetDocument()
+	m.roster.load(s.GetRoster())
 	m.claims.load(s)
 	m.suspects.load(s)
 	m.incarnations.load(s)
