--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -159,9 +159,13 @@
 	e.mu.Lock()
 	s := e.state()
 	e.mu.Unlock()
+	var models []fleet.Model
+	for _, h := range s.Held {
+		models = append(models, fleet.Model{Name: h.Model, Adapters: h.Adapters})
+	}
 	assert.NilError(t, f.Announce(t.Context(), fleet.Announcement{
 		ID: "t1", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "z", Service: "s",
-		Born: time.UnixMilli(1), Sequence: sequence, Slots: 4, HasModels: true,
+		Born: time.UnixMilli(1), Sequence: sequence, Slots: 4, HasModels: true, Models: models,
 	}, s))
 }
 
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -69,8 +69,10 @@
 	Announcement
 	heard time.Time
 	// serial is the table version of the last change of the record.
-	serial  uint64
-	removed bool
+	serial uint64
+	// removed says that the target takes no work; left that it said so itself or
+	// lost its address, and does not come back.
+	removed, left bool
 }
 
 // Table holds the targets of one term. It is not safe for concurrent use.
@@ -103,12 +105,18 @@
 	case old.Born.After(a.Born):
 		return Superseded, false
 	case old.Born.Equal(a.Born):
-		if old.removed {
+		if old.left {
 			return Left, false
 		}
 		if a.Sequence <= old.Sequence {
 			return Late, false
 		}
+		if old.removed {
+			// Its lease had run out; entry instances were told that it is gone.
+			old.removed, old.serial = false, t.next()
+			t.refresh(now, old, a)
+			return Current, true
+		}
 		return Current, t.refresh(now, old, a)
 	}
 	for _, other := range t.targets {
@@ -117,6 +125,7 @@
 				return Superseded, false
 			}
 			t.remove(now, other)
+			other.left = true
 		}
 	}
 	t.targets[a.ID] = &target{Announcement: a, heard: now, serial: t.next()}
@@ -142,11 +151,13 @@
 // but takes no new work.
 func (t *Table) Leave(now time.Time, id string) (changed bool) {
 	old := t.targets[id]
-	if old == nil || old.removed {
+	if old == nil || old.left {
 		return false
 	}
+	known := !old.removed
 	t.remove(now, old)
-	return true
+	old.left = true
+	return known
 }
 
 // Touch marks the record of a target as changed, after its models have changed.
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -92,6 +92,21 @@
 	assert.DeepEqual(t, ids(x), []string{"b"})
 }
 
+// Guards against a target that was cut off from control for longer than its lease
+// and is never taken back.
+func TestSilentTargetReturns(t *testing.T) {
+	x := newTable()
+	x.Announce(start, announcement("a", "10.0.0.1:80", 100, 1))
+	late := start.Add(2 * Lease)
+	assert.DeepEqual(t, x.Expire(late), []string{"a"})
+	outcome, _ := x.Announce(late, announcement("a", "10.0.0.1:80", 100, 1))
+	assert.Equal(t, outcome, Late)
+	outcome, changed := x.Announce(late, announcement("a", "10.0.0.1:80", 100, 2))
+	assert.Equal(t, outcome, Current)
+	assert.Assert(t, changed)
+	assert.DeepEqual(t, ids(x), []string{"a"})
+}
+
 // Guards against entry instances that miss a change, or get the table of another
 // term as a difference.
 func TestSince(t *testing.T) {
