--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -302,6 +302,11 @@
 	if err != nil {
 		return c.ended(ctx, broken), err
 	}
+	if answer.Status >= http.StatusInternalServerError {
+		c.g.mu.Lock()
+		t.Failed(time.Now(), false)
+		c.g.mu.Unlock()
+	}
 	return answered, nil
 }
 
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -303,6 +303,23 @@
 	assert.Equal(t, res.Header.Get("T-Seal"), "s")
 }
 
+// Guards against a target that answers part of its requests with failures and
+// keeps its share of those that may run only once (incident inc-11ef).
+func TestFailingTargetLosesWork(t *testing.T) {
+	b := newBed(t, "plain", sealed(http.StatusInternalServerError, "no"), sealed(http.StatusOK, "ok"))
+	failed := 0
+	for i := range 20 {
+		res, _, err := b.ask(t.Context(), http.MethodPost, "/once/1", "x", func(r *http.Request) {
+			r.Header.Set("T-Id", fmt.Sprint("r", i))
+		})
+		assert.NilError(t, err)
+		if res.StatusCode != http.StatusOK {
+			failed++
+		}
+	}
+	assert.Assert(t, failed <= 3, "%d of 20 requests went to the failing target", failed)
+}
+
 // Guards against events that are lost, doubled or joined from two runs when a
 // stream breaks, also in the middle of an event, and goes on at another target.
 func TestStreamResumes(t *testing.T) {
