--- a/lib/faults/faults_test.go
+++ b/lib/faults/faults_test.go
@@ -363,8 +363,8 @@
 // TestPoisonCopiesWithoutControl guards against copies of a poison request that take
 // down a third target while no control leader answers; see KNOWN-RED.txt.
 func TestPoisonCopiesWithoutControl(t *testing.T) {
-	if w := run(1021); w.failure != "" {
-		report(t, 1021, w)
+	if w := run(3009); w.failure != "" {
+		report(t, 3009, w)
 	}
 }
 
