--- a/control/fleet.go
+++ b/control/fleet.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,10 +20,16 @@
 
 const (
 	// entryLease is how long an entry instance counts after its last report.
-	entryLease = 1500 * time.Millisecond
+	entryLease = 2500 * time.Millisecond
 	// newsWait bounds the wait for all entry instances to hear that a target leaves.
 	newsWait = 500 * time.Millisecond
 	newsPoll = 10 * time.Millisecond
+	// reportsPerSecond bounds the reports of all entry instances, reportPeriodMin and
+	// reportPeriodMax the time between two of one instance. The latter keeps changes
+	// in effect everywhere within about a second.
+	reportsPerSecond = 200
+	reportPeriodMin  = 200 * time.Millisecond
+	reportPeriodMax  = time.Second
 	// proposeTimeout bounds one replicated command of the operator.
 	proposeTimeout = 2 * time.Second
 )
@@ -59,6 +64,8 @@
 	stations map[string]*station
 	planners map[string]*scale.Planner
 	entries  map[string]*entryState
+	// loads sums the work of all entry instances.
+	loads loadTotals
 	// prompts are the cached prompts reported last.
 	prompts promptLog
 	// index is the decoded document of indexVersion.
@@ -112,6 +119,7 @@
 	f.planners = make(map[string]*scale.Planner)
 	f.entries = make(map[string]*entryState)
 	f.prompts = promptLog{}
+	f.loads = loadTotals{sums: make(map[string]*wire.TargetLoad)}
 	f.table = fleet.New(now, term, f.records)
 }
 
@@ -300,7 +308,7 @@
 		return nil, 0, err
 	}
 	if req.GetLeaving() {
-		delete(f.entries, req.GetName())
+		f.dropEntry(req.GetName())
 		return &wire.FleetReply{Protocol: link.Protocol}, term, nil
 	}
 	e := f.entries[req.GetName()]
@@ -308,13 +316,15 @@
 		e = &entryState{}
 		f.entries[req.GetName()] = e
 	}
+	f.loads.replace(e.loads, req.GetLoads())
 	e.heard, e.loads, e.demand = now, req.GetLoads(), req.GetDemand()
 	f.touchAdapters(now, req.GetLoads())
 	reply := &wire.FleetReply{Protocol: link.Protocol, Term: term, Warm: f.table.Warm(now)}
 	_, reply.TableVersion = f.table.Version()
 	reply.Targets, reply.Whole = f.table.Since(req.GetTerm(), req.GetTableVersion())
 	e.told = reply.GetTableVersion()
-	reply.Loads, reply.Entries = f.otherLoads(now, req.GetName())
+	reply.Loads, reply.Entries = f.loads.others(req.GetLoads()), uint32(len(f.entries))
+	reply.ReportMillis = uint32(reportPeriod(len(f.entries)).Milliseconds())
 	f.svc.machineMu.RLock()
 	if doc := f.svc.machine.Document(); doc.GetVersion() > req.GetDocumentVersion() {
 		reply.Document = doc
@@ -330,43 +340,18 @@
 	return reply, term, nil
 }
 
-// otherLoads sums what the other entry instances have under way, and counts all.
-func (f *Fleet) otherLoads(now time.Time, name string) ([]*wire.TargetLoad, uint32) {
-	sums := make(map[string]*wire.TargetLoad)
-	entries := uint32(0)
-	for other, e := range f.entries {
-		if now.Sub(e.heard) > entryLease {
-			continue
-		}
-		entries++
-		if other == name {
-			continue
-		}
-		for _, l := range e.loads {
-			sum := sums[l.GetTarget()]
-			if sum == nil {
-				sum = &wire.TargetLoad{Target: l.GetTarget()}
-				sums[l.GetTarget()] = sum
-			}
-			sum.Running += l.GetRunning()
-			sum.PromptTokens += l.GetPromptTokens()
-			sum.MemoryTokens += l.GetMemoryTokens()
-			sum.PromptRate += l.GetPromptRate()
-		}
+func (f *Fleet) dropEntry(name string) {
+	if e := f.entries[name]; e != nil {
+		f.loads.replace(e.loads, nil)
+		delete(f.entries, name)
 	}
-	out := make([]*wire.TargetLoad, 0, len(sums))
-	for _, l := range sums {
-		if l.GetRunning() > 0 || l.GetPromptRate() > 0 {
-			out = append(out, l)
-		}
-	}
-	slices.SortFunc(out, func(a, b *wire.TargetLoad) int {
-		if a.GetTarget() < b.GetTarget() {
-			return -1
-		}
-		return 1
-	})
-	return out, entries
+}
+
+// reportPeriod is the time between two reports of an entry instance. The number
+// of reports per second is bounded, and so is the age of what instances know.
+func reportPeriod(entries int) time.Duration {
+	d := time.Duration(entries) * time.Second / reportsPerSecond
+	return min(max(d, reportPeriodMin), reportPeriodMax)
 }
 
 // tick expires targets and entry instances and runs the planners.
@@ -384,10 +369,11 @@
 	}
 	for name, e := range f.entries {
 		if now.Sub(e.heard) > entryLease {
-			delete(f.entries, name)
+			f.dropEntry(name)
 			f.log.Warn().Str("event", "entrySilent").Str("entry", name).Dur("lease", entryLease).Msg("")
 		}
 	}
+	f.loads.rank()
 	f.count.entries.Update(float64(len(f.entries)))
 	live := f.table.Live()
 	f.count.targets.Update(float64(len(live)))
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -386,10 +386,27 @@
 	}
 	report("e1", 1)
 	report("e2", 2)
+	report("e3", 4)
+	f.tick(time.Now())
 	reply := report("e3", 4)
 	assert.Equal(t, reply.GetEntries(), uint32(3))
 	assert.Equal(t, reply.GetLoads()[0].GetRunning(), uint32(3))
 	assert.Equal(t, reply.GetLoads()[0].GetPromptTokens(), uint64(20))
+	report("e1", 0)
+	f.dropEntry("e2")
+	f.tick(time.Now())
+	assert.Equal(t, len(report("e3", 4).GetLoads()), 0)
+}
+
+// Guards against reports without bound at the size to design for, and against
+// changes that take longer than a second to reach an instance.
+func TestReportPeriod(t *testing.T) {
+	for _, c := range []struct {
+		entries int
+		want    time.Duration
+	}{{1, reportPeriodMin}, {8, reportPeriodMin}, {100, 500 * time.Millisecond}, {510, reportPeriodMax}} {
+		assert.Equal(t, reportPeriod(c.entries), c.want)
+	}
 }
 
 // Guards against a new leader that knows no target until each has announced
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -68,6 +68,8 @@
 	index atomic.Pointer[site.Index]
 	// contact is the time of the last answer of control, in Unix nanoseconds.
 	contact atomic.Int64
+	// reportEvery is the time between two reports that control asks for, in nanoseconds.
+	reportEvery atomic.Int64
 	// warm says that control had time to hear of every target.
 	warm     atomic.Bool
 	draining atomic.Bool
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// reportPeriod is the time between two reports to control; it bounds how old
-	// the configuration and the table of targets may be.
+	// reportPeriod is the time between two reports to control unless control names
+	// another one; it bounds how old the configuration and the table may be.
 	reportPeriod = 200 * time.Millisecond
 	// startPeriod replaces it until the first configuration has arrived.
 	startPeriod = 60 * time.Millisecond
@@ -50,6 +50,9 @@
 	if g.index.Load() == nil {
 		return startPeriod
 	}
+	if d := time.Duration(g.reportEvery.Load()); d > kickPause {
+		return d
+	}
 	return reportPeriod
 }
 
@@ -78,6 +81,7 @@
 		g.log.Info().Str("event", "controlReached").Uint64("term", reply.GetTerm()).Msg("")
 	}
 	g.warm.Store(reply.GetWarm())
+	g.reportEvery.Store(int64(reply.GetReportMillis()) * int64(time.Millisecond))
 	g.takeDocument(reply.GetDocument())
 	g.takeTable(now, reply)
 	return nil
--- a/lib/daemon/daemon.go
+++ b/lib/daemon/daemon.go
@@ -35,6 +35,10 @@
 // under load, while resident memory stayed at half of the 64 MB planned per process.
 const gcPercent = 400
 
+// memoryShare is the part of Common.MemoryMB, in percent, that the Go runtime may
+// use; the rest is for the C library, the kernel's buffers and peaks.
+const memoryShare = 65
+
 // Process is what Main hands to a program.
 type Process struct {
 	Common Common
@@ -75,6 +79,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if common.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(common.MemoryMB) << 20 * memoryShare / 100)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	p, closeProcess, err := start(program, *common)
--- a/lib/daemon/settings.go
+++ b/lib/daemon/settings.go
@@ -19,6 +19,9 @@
 	Zone string `ini:"zone"`
 	// Metrics is the HTTP address of /metrics and /debug/pprof; the zero value turns it off.
 	Metrics netip.AddrPort `ini:"metrics"`
+	// MemoryMB is the memory that the process may use, in MB; garbage is collected more
+	// often as it is approached. 0 sets no limit.
+	MemoryMB uint32 `ini:"memoryMB"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `ini:"logLevel"`
 	// TraceExport is "", "stdout", "file:PATH" or the URL of an OTLP/HTTP collector.
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -70,6 +70,9 @@
 	heard time.Time
 	// serial is the table version of the last change of the record.
 	serial uint64
+	// cached is the record as of serial cachedAt; nil if it changes with time.
+	cached   *wire.FleetTarget
+	cachedAt uint64
 	// removed says that the target takes no work; left that it said so itself or
 	// lost its address, and does not come back.
 	removed, left bool
@@ -209,6 +212,20 @@
 }
 
 func (t *Table) record(x *target) *wire.FleetTarget {
+	if x.cached != nil && x.cachedAt == x.serial {
+		return x.cached
+	}
+	r := t.build(x)
+	x.cached, x.cachedAt = r, x.serial
+	for _, m := range r.GetModels() {
+		if m.GetLoadingMicros() > 0 {
+			x.cached = nil
+		}
+	}
+	return r
+}
+
+func (t *Table) build(x *target) *wire.FleetTarget {
 	r := &wire.FleetTarget{
 		Id: x.ID, Address: x.Addr.String(), Zone: x.Zone, Service: x.Service,
 		Phase: wire.Phase_PHASE_READY, BornMillis: x.Born.UnixMilli(), Slots: uint32(x.Slots),
--- a/lib/scale/target.go
+++ b/lib/scale/target.go
@@ -269,6 +269,10 @@
 	return model, adapter, ok
 }
 
+// adapterSoon is the time until the end of its load from which on an adapter is
+// told to entry instances.
+const adapterSoon = 50 * time.Millisecond
+
 // Records returns the models of the target as entry instances should see them.
 func (t *Target) Records(now time.Time) []*wire.FleetModel {
 	names := make([]string, 0, len(t.Copies)+1)
@@ -288,7 +292,7 @@
 		} else {
 			m.Leaving = !c.LeavingSince.IsZero()
 			for a, x := range c.Adapters {
-				if !x.Leaving && !x.ReadyAt.After(now) {
+				if !x.Leaving && x.ReadyAt.Sub(now) <= adapterSoon {
 					m.Adapters = append(m.Adapters, a)
 				}
 			}
