--- a/control/load.go
+++ b/control/load.go
@@ -14,7 +14,8 @@
 // loadTotals sums the work of all entry instances at each target.
 type loadTotals struct {
 	sums map[string]*wire.TargetLoad
-	// busiest are the targets with the most work, as of the last rank.
+	// busiest are the targets with the most work, as of the last rank; if they are
+	// few, they are ranked for each answer.
 	busiest []*wire.TargetLoad
 }
 
@@ -68,6 +69,9 @@
 	for _, l := range own {
 		mine[l.GetTarget()] = l
 	}
+	if len(t.sums) <= loadsTold {
+		t.rank()
+	}
 	out := make([]*wire.TargetLoad, 0, len(t.busiest))
 	for _, sum := range t.busiest {
 		l := &wire.TargetLoad{
