--- a/control/adapter.go
+++ b/control/adapter.go
@@ -16,6 +16,10 @@
 	adapterTime = 20 * time.Millisecond
 	// adapterIdle is how long an adapter is not used before it makes way.
 	adapterIdle = 500 * time.Millisecond
+	// adapterQueue is how long a fetch waits for other orders to its target: beyond
+	// it, another target serves the request sooner.
+	adapterQueue = 150 * time.Millisecond
+	lockPoll     = 2 * time.Millisecond
 	// adapterUnknown is how long an adapter counts as on its way after an order
 	// without an answer.
 	adapterUnknown = 15 * time.Second
@@ -26,6 +30,7 @@
 	errNoModel   = errors.New("the target does not hold the model")
 	errAllInUse  = errors.New("all adapter places are in use")
 	errNoEngines = errors.New("the service has no engines")
+	errBusyOrder = errors.New("an order to the target has no answer yet")
 )
 
 // Fetch makes an adapter resident at a target that holds its model, and answers
@@ -65,7 +70,9 @@
 // fetch orders the adapter if it is not at the engine, after an unload if all
 // places are taken. One fetch at a time runs for each engine.
 func (f *Fleet) fetch(term uint64, st *station, model, adapter string) (readyAt time.Time, err error) {
-	st.sending.Lock()
+	if !f.lockStation(st) {
+		return time.Time{}, errBusyOrder
+	}
 	defer st.sending.Unlock()
 	if at, ok := f.heldAdapter(st, model, adapter); ok {
 		return at, nil
@@ -106,6 +113,16 @@
 	return time.Time{}, fmt.Errorf("order %s: %w", result, err)
 }
 
+// lockStation takes st.sending, unless other orders hold it for long.
+func (f *Fleet) lockStation(st *station) bool {
+	for end := time.Now().Add(adapterQueue); !st.sending.TryLock(); {
+		if time.Now().After(end) || !f.pause(lockPoll) {
+			return false
+		}
+	}
+	return true
+}
+
 // heldAdapter returns when the adapter is usable, if it is at the engine.
 func (f *Fleet) heldAdapter(st *station, model, adapter string) (readyAt time.Time, ok bool) {
 	f.mu.Lock()
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -27,6 +27,11 @@
 	placeWait = 700 * time.Millisecond
 	// answerMargin is the time that must be left after a load for an answer.
 	answerMargin = 300 * time.Millisecond
+	// overloadFactor is how many times the expected wait must exceed the time left
+	// before a request is refused: the expectation errs on the long side under load.
+	overloadFactor = 2
+	// maxRetryAfter bounds what a refused client is told.
+	maxRetryAfter = 3 * time.Second
 	// refusedPause is the time after which a refused client may come back.
 	refusedPause = 500 * time.Millisecond
 )
@@ -159,7 +164,7 @@
 		}
 		g.mu.Unlock()
 		if choice.Target != nil {
-			return choice, nil
+			return choice, c.overloaded(now, choice)
 		}
 		if f := c.hopeless(now, begun, until); f != nil {
 			return choice, f
@@ -241,6 +246,19 @@
 	return &failure{status: http.StatusServiceUnavailable, reason: "no target holds the model", retryAfter: back}
 }
 
+// overloaded refuses a request that would surely not be answered in time, so that
+// its client can come back when there is room, and others are not held up.
+func (c *call) overloaded(now time.Time, choice steer.Choice) *failure {
+	if c.prompt.Model == "" || c.sent || c.ran > 0 || choice.Wait < overloadFactor*c.deadline.Sub(now) {
+		return nil
+	}
+	c.release(choice)
+	return &failure{
+		status: http.StatusServiceUnavailable, reason: "all targets of the model are overloaded",
+		retryAfter: min(max(choice.Wait/4, refusedPause), maxRetryAfter),
+	}
+}
+
 // release undoes Begin for a request that is not sent.
 func (c *call) release(choice steer.Choice) {
 	c.g.mu.Lock()
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -458,6 +458,26 @@
 	assert.Equal(t, len(b.targets[0].requests()), 2)
 }
 
+// Pattern: a crest that the targets of a model cannot work off in time. Guards
+// against requests that wait there until their deadline, and against a refusal
+// that was sent to a target.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	b := newBed(t, "engines", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 1) })
+	b.gate.mu.Lock()
+	b.gate.fleet.targets["t0"].Others.PromptTokens = 1_000_000
+	b.gate.mu.Unlock()
+	begun := time.Now()
+	res, _, err := b.ask(t.Context(), http.MethodPost, "/resumed/1", "x", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, res.Header.Get("Retry-After"), "3.00")
+	assert.Assert(t, time.Since(begun) < time.Second)
+	assert.Equal(t, len(b.targets[0].requests()), 0)
+	b.gate.mu.Lock()
+	defer b.gate.mu.Unlock()
+	assert.Equal(t, b.gate.fleet.targets["t0"].Own.Running, 0)
+}
+
 // Guards against an instance that serves nothing, or goes back to an older
 // configuration, while control is away; and one that takes streams it cannot end.
 func TestWithoutControlAndDraining(t *testing.T) {
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -25,8 +25,9 @@
 	// reportTimeout bounds one report, so that a silently cut instance of control is
 	// left for the next one.
 	reportTimeout = 500 * time.Millisecond
-	// fetchTimeout bounds the request for one adapter.
-	fetchTimeout = 1200 * time.Millisecond
+	// fetchTimeout bounds the request for one adapter; after it, another target may
+	// have it sooner.
+	fetchTimeout = 500 * time.Millisecond
 )
 
 // reportDue waits until the next report is due and sends it.
@@ -231,6 +232,8 @@
 // fetch asks control for an adapter at a target; it returns when the adapter is
 // expected to be there.
 func (g *Gate) fetch(ctx context.Context, target, model, adapter string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
 	var reply *wire.FetchReply
 	err := g.ask(ctx, fetchTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (err error) {
 		reply, err = c.Fetch(ctx, &wire.FetchRequest{
