--- a/control/adapter.go
+++ b/control/adapter.go
@@ -30,6 +30,7 @@
 	errNoModel   = errors.New("the target does not hold the model")
 	errAllInUse  = errors.New("all adapter places are in use")
 	errNoEngines = errors.New("the service has no engines")
+	errOrdered   = errors.New("the target carries out a model order")
 	errBusyOrder = errors.New("an order to the target has no answer yet")
 )
 
@@ -77,6 +78,9 @@
 	if at, ok := f.heldAdapter(st, model, adapter); ok {
 		return at, nil
 	}
+	if f.ordered(st) {
+		return time.Time{}, errOrdered
+	}
 	load := scale.Order{Op: scale.Load, Model: model, Adapter: adapter}
 	if _, err := f.recount(term, st, load, false); err != nil {
 		return time.Time{}, err
@@ -113,6 +117,14 @@
 	return time.Time{}, fmt.Errorf("order %s: %w", result, err)
 }
 
+// ordered says that the engine may be carrying out a model order; it refuses
+// orders for adapters until that has ended.
+func (f *Fleet) ordered(st *station) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return st.Order != nil && st.Sent
+}
+
 // lockStation takes st.sending, unless other orders hold it for long.
 func (f *Fleet) lockStation(st *station) bool {
 	for end := time.Now().Add(adapterQueue); !st.sending.TryLock(); {
--- a/control/order.go
+++ b/control/order.go
@@ -98,15 +98,15 @@
 }
 
 // records returns the models of a target for entry instances; the caller holds mu.
-func (f *Fleet) records(id string, held []fleet.Model) []*wire.FleetModel {
+func (f *Fleet) records(id string, held []fleet.Model) (list []*wire.FleetModel, ordered bool) {
 	if st := f.stations[id]; st != nil {
-		return st.Records(time.Now())
+		return st.Records(time.Now()), st.Order != nil
 	}
 	out := make([]*wire.FleetModel, 0, len(held))
 	for _, h := range held {
 		out = append(out, &wire.FleetModel{Name: h.Name, Adapters: h.Adapters})
 	}
-	return out
+	return out, false
 }
 
 // observe takes the models that an engine announced; the caller holds mu.
--- a/entry/gate/table.go
+++ b/entry/gate/table.go
@@ -86,6 +86,7 @@
 	}
 	t.Addr, t.Zone, t.Service = addr, r.GetZone(), r.GetService()
 	t.Born, t.Slots = time.UnixMilli(r.GetBornMillis()), int(r.GetSlots())
+	t.Ordered = r.GetOrdered()
 	t.Ready = r.GetPhase() == wire.Phase_PHASE_READY
 	t.Models = make(map[string]*steer.Model, len(r.GetModels()))
 	for _, m := range r.GetModels() {
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -85,12 +85,12 @@
 	version uint64
 	targets map[string]*target
 	// models adds what the leader's own orders have under way to a record.
-	models func(id string, held []Model) []*wire.FleetModel
+	models func(id string, held []Model) (list []*wire.FleetModel, ordered bool)
 }
 
 // New returns the empty table of a leader's term. models returns the models of a
-// target as entry instances should see them.
-func New(now time.Time, term uint64, models func(id string, held []Model) []*wire.FleetModel) *Table {
+// target as entry instances should see them, and whether a model order is under way.
+func New(now time.Time, term uint64, models func(id string, held []Model) (list []*wire.FleetModel, ordered bool)) *Table {
 	return &Table{term: term, since: now, targets: make(map[string]*target), models: models}
 }
 
@@ -235,7 +235,7 @@
 		r.Phase = wire.Phase_PHASE_LEAVING
 	}
 	if !x.removed && x.HasModels {
-		r.Models = t.models(x.ID, x.Models)
+		r.Models, r.Ordered = t.models(x.ID, x.Models)
 	}
 	return r
 }
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -13,7 +13,7 @@
 var start = time.UnixMilli(1_000_000)
 
 func newTable() *Table {
-	return New(start, 7, func(string, []Model) []*wire.FleetModel { return nil })
+	return New(start, 7, func(string, []Model) ([]*wire.FleetModel, bool) { return nil, false })
 }
 
 func announcement(id, addr string, born int64, sequence uint64) Announcement {
--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -216,7 +216,12 @@
 		r += n.model.Load.Seconds()
 	}
 	for name := range t.Copies {
-		r += v.Demand[name].Work * 0.5
+		share := 0.5
+		if m := v.Engine.Model(name); m != nil && m.Adapters > 0 {
+			// Its adapters cannot be fetched while the load is under way.
+			share = 1
+		}
+		r += v.Demand[name].Work * share
 	}
 	return r
 }
--- a/lib/steer/steer.go
+++ b/lib/steer/steer.go
@@ -28,6 +28,9 @@
 	adapterCost = 30 * time.Millisecond
 	// zoneCost is the price of leaving the zone, as time.
 	zoneCost = 2 * time.Millisecond
+	// orderedCost is added for an adapter that is missing at a target with a model
+	// order under way.
+	orderedCost = 3 * time.Second
 	// connCost is the price of a new connection, as time.
 	connCost = 10 * time.Millisecond
 	// fullCost is added to a target whose slots or memory are taken.
@@ -120,6 +123,8 @@
 	Slots int
 	// Models is nil for a plain service.
 	Models map[string]*Model
+	// Ordered says that a model order is under way there: no adapter can be fetched.
+	Ordered bool
 
 	// Own is what this entry instance has under way there, Others what the other
 	// ones had at their last report.
@@ -299,6 +304,9 @@
 		if r.Adapter != "" && !m.Adapters[r.Adapter] {
 			c.NeedsAdapter = true
 			wait += float64(adapterCost)
+			if t.Ordered {
+				wait += float64(orderedCost)
+			}
 		}
 		used := t.Own.MemoryTokens + t.Others.MemoryTokens + c.MissTokens + r.OutputTokens
 		if s.KVTokens > 0 && used > s.KVTokens*9/10 {
--- a/lib/steer/steer_test.go
+++ b/lib/steer/steer_test.go
@@ -143,6 +143,20 @@
 	}
 }
 
+// Pattern: requests for adapters while a target loads a model, which takes
+// seconds. Guards against requests that wait there for an adapter that another
+// target can fetch at once (incident inc-2b23).
+func TestAdaptersAvoidTargetsWithOrders(t *testing.T) {
+	targets := fleetOf(2)
+	r := draft(1, 1)
+	r.Adapter = "a1"
+	first := Pick(start, engines, r, targets, all).Target
+	first.Ordered = true
+	assert.Assert(t, Pick(start, engines, r, targets, all).Target != first)
+	first.Models["m"].Adapters["a1"] = true
+	assert.Equal(t, Pick(start, engines, r, targets, all).Target, first)
+}
+
 // Guards against requests for a model that is being unloaded or still loads, and
 // for a target that leaves.
 func TestOnlyHoldersAreChosen(t *testing.T) {
