--- a/control/adapter.go
+++ b/control/adapter.go
@@ -18,7 +18,7 @@
 	adapterIdle = 500 * time.Millisecond
 	// adapterQueue is how long a fetch waits for other orders to its target: beyond
 	// it, another target serves the request sooner.
-	adapterQueue = 150 * time.Millisecond
+	adapterQueue = 250 * time.Millisecond
 	lockPoll     = 2 * time.Millisecond
 	// adapterUnknown is how long an adapter counts as on its way after an order
 	// without an answer.
--- a/control/order.go
+++ b/control/order.go
@@ -15,9 +15,9 @@
 
 const (
 	// sendTimeout bounds one order; it is sent again after a lost answer.
-	sendTimeout = 250 * time.Millisecond
+	sendTimeout = 100 * time.Millisecond
 	// sendTries bounds the sends of one order.
-	sendTries = 6
+	sendTries = 10
 	// conflictPause is how long an engine's report lags behind its orders.
 	conflictPause = 200 * time.Millisecond
 	// leaveNotice is the time between the news that a model leaves a target and its
