--- a/control/settings.go
+++ b/control/settings.go
@@ -75,8 +75,7 @@
 		Heartbeat:       100 * time.Millisecond,
 		PlanPeriod:      250 * time.Millisecond,
 		SweepPeriod:     time.Second,
-		// A snapshot of 100,000 claims stops the log for about 0.13 s, so it is taken
-		// rarely; a restart replays 100,000 entries in well under a second.
+		// A snapshot of many claims stops the log for a moment, so it is taken rarely; a restart replays 100,000 entries in well under a second.
 		SnapshotEntries: 100_000,
 		SnapshotBytes:   64 << 20,
 		ShutdownTimeout: 5 * time.Second,
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -147,7 +147,7 @@
 	}
 	decode := func(version uint64, _ []byte) (*site.Config, error) {
 		return &site.Config{
-			Version: version, Routes: routes(), Limits: site.Limits{BodyBytes: 1000},
+			Version: version, Routes: routes(), Limits: site.Limits{BodyBytes: 1000, HeaderBytes: 2000},
 			Services: []site.Service{{Name: "plain"}, {Name: "engines", Engine: &site.Engine{KVTokens: 10_000, Models: []site.Model{{Name: "m"}, {Name: "rare"}}}}},
 		}, nil
 	}
@@ -416,6 +416,7 @@
 		{"unknown host", "/once/1", "", func(r *http.Request) { r.Host = "b.example" }, http.StatusNotFound},
 		{"no id", "/once/1", "", func(r *http.Request) { r.Header.Del("T-Id") }, http.StatusBadRequest},
 		{"bad deadline", "/once/1", "", func(r *http.Request) { r.Header.Set("T-Deadline", "soon") }, http.StatusBadRequest},
+		{"large header", "/once/1", "", func(r *http.Request) { r.Header.Set("X-Large", strings.Repeat("x", 3000)) }, http.StatusRequestHeaderFieldsTooLarge},
 		{"large body", "/once/1", strings.Repeat("x", 1001), nil, http.StatusRequestEntityTooLarge},
 		{"deadline passed at the target", "/once/1", "", func(r *http.Request) { r.Header.Set("T-Deadline", "100") }, http.StatusGatewayTimeout},
 		{"undeclared model", "/stream/1", "", func(r *http.Request) { r.Header.Set("T-Model", "other") }, http.StatusServiceUnavailable},
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -123,6 +123,9 @@
 	if c.id == "" {
 		return &failure{status: http.StatusBadRequest, reason: "no request id"}
 	}
+	if limit := c.index.Config.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
+		return &failure{status: http.StatusRequestHeaderFieldsTooLarge, reason: fmt.Sprintf("header exceeds %d bytes", limit)}
+	}
 	if c.route.Kind == site.Stream && c.g.draining.Load() {
 		// A stream may last longer than the time until this process is killed.
 		return &failure{status: http.StatusServiceUnavailable, reason: "shutting down", retryAfter: drainRetry}
@@ -137,6 +140,17 @@
 	return c.readBody()
 }
 
+// headerBytes is the size of a request's head as it stood on the wire.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n ") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // awaitConfig returns the configuration in effect, nil if none arrives in time.
 func (g *Gate) awaitConfig(ctx context.Context) *site.Index {
 	if x := g.index.Load(); x != nil {
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -19,8 +19,7 @@
 	judgePollMax = 400 * time.Millisecond
 	// lossSettle is the time from the loss of a target until a suspect may run. The
 	// report of a copy that crashed the second target at nearly the same time, sent
-	// by another instance, arrives within it. Without it and without the wait for
-	// the reports of this instance, TestPoison loses a third target in 7 of 30 runs.
+	// by another instance, arrives within it.
 	lossSettle = 300 * time.Millisecond
 	// judgeQuick bounds the question while control is known to be out of reach.
 	judgeQuick = 250 * time.Millisecond
--- a/lib/daemon/daemon.go
+++ b/lib/daemon/daemon.go
@@ -31,8 +31,7 @@
 )
 
 // gcPercent lets the heap of a few MB grow to five times its live size before a
-// collection. At the default of 100, collections took a sixth of the agent's time
-// under load, while resident memory stayed at half of the 64 MB planned per process.
+// collection, which would otherwise take much of the time under load.
 const gcPercent = 400
 
 // memoryShare is the part of Common.MemoryMB, in percent, that the Go runtime may
--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -13,10 +13,8 @@
 	buckets = 1024
 	// cachedRanks is the number of ranks kept per bucket.
 	cachedRanks = 4
-	// cacheFrom is the group size from which ranks are cached. The cache of a group
-	// takes 20 KiB: from 32 on, it was 29 of 44 MB for 6,400 targets with 360 models
-	// and 1,080 adapters, of the 64 MB that a node may use. Scanning 255 members
-	// takes about 1 us.
+	// cacheFrom is the group size from which ranks are cached: the cache of a small
+	// group takes more memory than its scan takes time.
 	cacheFrom = 256
 	// boundNum and boundDen are the bound on load, 1.25 times the mean.
 	boundNum, boundDen = 5, 4
