--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -302,7 +302,7 @@
 		c.g.mu.Lock()
 		defer c.g.mu.Unlock()
 		now := time.Now()
-		t.First(now, now.Sub(sentAt), choice.Wait, choice.MissTokens)
+		t.First(now, now.Sub(sentAt), choice.Base, choice.MissTokens)
 		if c.decision.first == 0 {
 			c.decision.first = now.Sub(c.arrived)
 			c.g.met.firstOutput(c.decision.first)
--- a/lib/steer/cache.go
+++ b/lib/steer/cache.go
@@ -80,6 +80,7 @@
 	}
 }
 
-func decay(age time.Duration) float64 {
-	return math.Exp2(-float64(age) / float64(errorHalf))
+// decay is the part of a memory with that half-life that is left after age.
+func decay(age, half time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(half))
 }
--- a/lib/steer/demand.go
+++ b/lib/steer/demand.go
@@ -31,7 +31,7 @@
 }
 
 func (a *arrival) advance(now time.Time) {
-	d := math.Exp2(-float64(now.Sub(a.at)) / float64(demandHalf))
+	d := decay(now.Sub(a.at), demandHalf)
 	a.work, a.requests, a.at = a.work*d, a.requests*d, now
 }
 
--- a/lib/steer/steer.go
+++ b/lib/steer/steer.go
@@ -15,6 +15,8 @@
 	// prefillPerMilli is the number of prompt tokens that an engine reads in a
 	// millisecond, before a target's own pace is known.
 	prefillPerMilli = 40.0
+	// plainCost is the delay that each running request adds at a plain service.
+	plainCost = 10 * time.Millisecond
 	// runningCost is the delay that each running request adds to a new one.
 	runningCost = 500 * time.Microsecond
 	// priorShare is the share of a prompt that the first target by rendezvous hash
@@ -50,8 +52,14 @@
 	// to reach it.
 	avoidMin = 500 * time.Millisecond
 	avoidMax = 4 * time.Second
-	// errorHalf is the half-life of what is remembered of failures and of slowness.
+	// errorHalf and slowHalf are the half-lives of what is remembered of failures and
+	// of slowness; targets are slow for moments.
 	errorHalf = 3 * time.Second
+	slowHalf  = time.Second
+	// slowMax bounds the ratio that one answer counts as.
+	slowMax = 5.0
+	// slowGrace keeps short waits from looking slow.
+	slowGrace = 60 * time.Millisecond
 )
 
 // Request is what the choice of a target depends on.
@@ -158,8 +166,11 @@
 // Choice is a chosen target with what decided.
 type Choice struct {
 	Target *Target
-	// Wait is the expected time to the first output.
-	Wait time.Duration
+	// Wait is the expected time to the first output, Base what it would be if the
+	// target were not slower than others.
+	Wait, Base time.Duration
+	// cost is what the choice is made by: Wait and the delay of others, as time.
+	cost float64
 	// MissTokens is the part of the prompt that the target must read.
 	MissTokens int
 	// Source is a target from whose cache the chosen one should copy what it lacks of
@@ -171,7 +182,7 @@
 	Candidates int
 }
 
-// Pick returns the target with the shortest expected wait; Target is nil if none
+// Pick returns the target with the lowest cost; Target is nil if none
 // can take the request now. skip leaves out targets that were tried.
 func Pick(now time.Time, s Site, r *Request, targets []*Target, skip func(*Target) bool) Choice {
 	chain := r.chain()
@@ -185,7 +196,7 @@
 			}
 			n++
 			c := t.estimate(now, s, r, chain, src)
-			if best.Target == nil || c.Wait < best.Wait || c.Wait == best.Wait && tie(t, best.Target, now) {
+			if best.Target == nil || c.cost < best.cost || c.cost == best.cost && tie(t, best.Target, now) {
 				best = c
 			}
 		}
@@ -291,46 +302,54 @@
 func (t *Target) estimate(now time.Time, s Site, r *Request, chain []uint64, src source) Choice {
 	c := Choice{Target: t}
 	running := t.Own.Running + t.Others.Running
-	wait := 0.0
-	if r.Model != "" {
-		pending := float64(t.Own.PromptTokens + t.Others.PromptTokens)
-		wait = (t.plan(s, r, chain, src, &c) + pending/prefillPerMilli) * float64(time.Millisecond)
-		wait += float64(running) * float64(runningCost)
-		long := min(float64(c.MissTokens)/longPrompt, 1)
-		wait += long * float64(running) * float64(streamCost)
-		busy := min((t.promptRate(now)+t.Others.PromptRate)/(prefillPerMilli*1000), 1)
-		wait += (1 - long) * busy * float64(busyCost)
-		m := t.Models[r.Model]
-		if r.Adapter != "" && !m.Adapters[r.Adapter] {
-			c.NeedsAdapter = true
-			wait += float64(adapterCost)
-			if t.Ordered {
-				wait += float64(orderedCost)
-			}
-		}
-		used := t.Own.MemoryTokens + t.Others.MemoryTokens + c.MissTokens + r.OutputTokens
-		if s.KVTokens > 0 && used > s.KVTokens*9/10 {
-			wait += float64(fullCost)
-		}
+	base, cost := 0.0, 0.0
+	if r.Model == "" {
+		base = float64(running) * float64(plainCost)
 	} else {
-		wait = float64(running) * float64(10*time.Millisecond)
+		base, cost = t.engineTime(now, s, r, chain, src, &c)
 	}
 	failing, slow := t.trouble(now)
-	wait *= max(slow, 1)
+	wait := base * max(slow, 1)
 	if t.Slots > 0 && running >= t.Slots {
 		wait += float64(fullCost) * float64(running-t.Slots+1) / float64(t.Slots)
 	}
-	wait += failing * float64(errorCost)
+	cost += failing * float64(errorCost)
 	if s.Idle != nil && !s.Idle(t) {
-		wait += float64(connCost)
+		cost += float64(connCost)
 	}
 	if t.Zone != s.Zone {
-		wait += float64(zoneCost)
+		cost += float64(zoneCost)
 	}
-	c.Wait = time.Duration(max(wait, 0))
+	c.Base, c.Wait = time.Duration(max(base, 0)), time.Duration(max(wait, 0))
+	c.cost = max(wait, 0) + cost
 	return c
 }
 
+// engineTime returns the expected time to the first output at an engine, and what
+// the request costs besides, as time: the delay of others and what may go wrong.
+func (t *Target) engineTime(now time.Time, s Site, r *Request, chain []uint64, src source, c *Choice) (base, cost float64) {
+	running := float64(t.Own.Running + t.Others.Running)
+	pending := float64(t.Own.PromptTokens + t.Others.PromptTokens)
+	base = (t.plan(s, r, chain, src, c) + pending/prefillPerMilli) * float64(time.Millisecond)
+	base += running * float64(runningCost)
+	long := min(float64(c.MissTokens)/longPrompt, 1)
+	cost = long * running * float64(streamCost)
+	busy := min((t.promptRate(now)+t.Others.PromptRate)/(prefillPerMilli*1000), 1)
+	cost += (1 - long) * busy * float64(busyCost)
+	if r.Adapter != "" && !t.Models[r.Model].Adapters[r.Adapter] {
+		c.NeedsAdapter = true
+		base += float64(adapterCost)
+		if t.Ordered {
+			cost += float64(orderedCost)
+		}
+	}
+	used := t.Own.MemoryTokens + t.Others.MemoryTokens + c.MissTokens + r.OutputTokens
+	if s.KVTokens > 0 && used > s.KVTokens*9/10 {
+		cost += float64(fullCost)
+	}
+	return base, cost
+}
+
 // sharedTokens counts the prompt without its last part.
 func sharedTokens(r *Request) int {
 	n := 0
@@ -342,8 +361,8 @@
 
 // trouble returns the decayed share of failures and ratio of slowness.
 func (t *Target) trouble(now time.Time) (failing, slow float64) {
-	d := decay(now.Sub(t.seenAt))
-	return t.failing * d, 1 + (max(t.slow, 1)-1)*d
+	age := now.Sub(t.seenAt)
+	return t.failing * decay(age, errorHalf), 1 + (max(t.slow, 1)-1)*decay(age, slowHalf)
 }
 
 func (t *Target) learn(now time.Time, failed bool, slow float64) {
@@ -355,14 +374,14 @@
 	}
 	t.failing = f + weight*(x-f)
 	if slow > 0 {
-		s += weight * (min(slow, 10) - s)
+		s += weight * (min(slow, slowMax) - s)
 	}
 	t.slow, t.seenAt = s, now
 }
 
 // promptRate returns the decayed rate of prompt tokens from this entry instance.
 func (t *Target) promptRate(now time.Time) float64 {
-	return t.Own.PromptRate * math.Exp2(-float64(now.Sub(t.rateAt))/float64(rateHalf))
+	return t.Own.PromptRate * decay(now.Sub(t.rateAt), rateHalf)
 }
 
 // Report returns the work of this entry instance at the target.
@@ -392,11 +411,11 @@
 	return t.cache.add(r, r.chain(), int(float64(s.KVTokens)*cacheShare))
 }
 
-// First notes the first output after the given time.
-func (t *Target) First(now time.Time, took, expected time.Duration, miss int) {
+// First notes the first output after the given time; base is Choice.Base.
+func (t *Target) First(now time.Time, took, base time.Duration, miss int) {
 	t.Own.PromptTokens -= miss
 	t.avoidFor = 0
-	t.learn(now, false, float64(took+20*time.Millisecond)/float64(expected+40*time.Millisecond))
+	t.learn(now, false, float64(took+slowGrace)/float64(base+slowGrace))
 }
 
 // End notes that the request is over; started says that First was called.
--- a/lib/steer/steer_test.go
+++ b/lib/steer/steer_test.go
@@ -55,7 +55,7 @@
 		c := Pick(now, engines, r, targets, all)
 		read += c.MissTokens
 		c.Target.Begin(now, r, engines, c.MissTokens)
-		c.Target.First(now, 100*time.Millisecond, c.Wait, c.MissTokens)
+		c.Target.First(now, 100*time.Millisecond, c.Base, c.MissTokens)
 		c.Target.End(r, c.MissTokens, true)
 	}
 	// 200 own parts, and at most 3 readings of each of 10 documents.
@@ -197,7 +197,7 @@
 			case k == 1:
 				x := &open[len(open)-1]
 				if !x.started {
-					x.c.Target.First(now, time.Second, x.c.Wait, x.c.MissTokens)
+					x.c.Target.First(now, time.Second, x.c.Base, x.c.MissTokens)
 					x.started = true
 				}
 			default:
