Wait for the unload's arrival in TestPlanIsCarriedOut

Cause: the test failed once beside load (2 commands, want 3). The agent reports an artifact as pinned from the decision to unload it on, so the announcement that the test waits for can come before the command has reached the engine. The agent itself is as before, and the test still wants exactly three commands in their order.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -131,6 +131,13 @@
 		ann := b.control.last.GetAnnouncement()
 		return len(ann.GetResident()) == 2 && ann.GetPlanAck().GetSequence() == 2
 	})
+	// An artifact counts as pinned, not resident, from the decision to unload it on;
+	// the command may still be on its way to the engine.
+	b.until("unload has arrived", func() bool {
+		arrived := false
+		e.with(func() { arrived = len(e.commands) >= 3 })
+		return arrived
+	})
 	e.with(func() {
 		assert.Equal(t, len(e.commands), 3)
 		for i, c := range e.commands[:2] {
