Give a crowded model room in time

Four reasons, from the order lines of the leader's log: (1) the last copy of an idle model made way only for a model with no copy at all; (2) a model asked for once, with decayed demand, went before the crest and blocked an engine for a load of 6 s from the store; (3) the planner waited for room at an engine whose order was seconds from its end; (4) it unloaded copies in use, which wait 3 to 4 s for their requests, although idle ones would have gone at once.

Each part has a test in lib/scale that failed before.

--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -15,7 +15,8 @@
 	// richer is how many times the work per copy of a growing model must exceed
 	// what the victim's remaining copies would carry.
 	richer = 2.0
-	// unreachable ranks a model that is asked for and has no copy before all others.
+	// unreachable ranks a model for which a request waits and that has no copy before
+	// all others.
 	unreachable = 1000.0
 	// idleNeed ranks a model without a copy that nobody asks for: it comes back into
 	// free memory, or in place of a copy that is hardly used, but not in place of
@@ -28,7 +29,14 @@
 	// as soon as an order ends.
 	cheap = 0.1
 	// lastCopyCost ranks the last copy of an idle model after copies that cost less.
-	lastCopyCost = 0.5
+	lastCopyCost = 0.4
+	// busyCost ranks a copy with requests under way after one without: its unload waits
+	// for them, for seconds, in which the engine serves neither model.
+	busyCost = 0.3
+	// busyWork is the work per copy above which requests are taken to be under way.
+	busyWork = 0.03
+	// soonWithin bounds the time for which an order waits for room elsewhere.
+	soonWithin = 1500 * time.Millisecond
 	// settle is how long a copy stays before it may make way.
 	settle = 4 * time.Second
 	// storeBurst is the number of loads from the weight store that may begin at once.
@@ -103,11 +111,9 @@
 	case copies > 0:
 		return n.demand.Work / float64(copies)
 	case n.demand.Waiting > 0:
-		return 2 * unreachable
-	case n.demand.Work > 0:
 		return unreachable
 	}
-	return idleNeed
+	return idleNeed + 2*n.demand.Work
 }
 
 // coming returns the model that the order under way is to bring; empty if none.
@@ -251,6 +257,9 @@
 			if !ok || cost*richer > want || soon && cost > cheap {
 				continue
 			}
+			if x := find(list, name); x != nil && x.demand.Work > busyWork*float64(x.copies) {
+				cost += busyCost
+			}
 			cost += rank(v, t, n) * 0.01
 			if best == nil || cost < bestCost || cost == bestCost && name < victim {
 				best, victim, bestCost = t, name, cost
@@ -277,16 +286,20 @@
 		return cost, cost <= crowded || n.demand.Work > cost
 	}
 	// The last copy of a model that nobody asks for may make way for one that is
-	// asked for: it comes back from the target's disk within about a second.
+	// asked for and has none, or whose copies are crowded: it comes back from the
+	// target's disk within about a second.
 	idle := x.copies == 1 && x.loading == 0 && x.demand == Demand{}
-	asked := n.copies+n.loading == 0 && n.demand != Demand{}
+	copies := n.copies + n.loading
+	asked := copies == 0 && n.demand != Demand{} || copies > 0 && n.perCopy(copies) > crowded
 	return lastCopyCost, idle && asked && t.Cached[name]
 }
 
-// roomSoon says that a target has room for the model as soon as its order ends.
+// roomSoon says that a target has room for the model when its order ends, which is
+// soon.
 func roomSoon(v View, m *site.Model) bool {
 	for _, t := range v.Targets {
-		if t.Order != nil && t.Copies[m.Name] == nil && t.UsedMB(v.Engine)+m.MB <= v.Engine.MemoryMB {
+		ends := t.Order != nil && t.ReadyAt.Sub(v.Now) < soonWithin
+		if ends && t.Copies[m.Name] == nil && t.UsedMB(v.Engine)+m.MB <= v.Engine.MemoryMB {
 			return true
 		}
 	}
--- a/lib/scale/scale_test.go
+++ b/lib/scale/scale_test.go
@@ -255,3 +255,76 @@
 	}
 	assert.Assert(t, w.copies("m06") >= 1 && w.copies("m07") >= 1)
 }
+
+// Pattern: a model rises to several times what one engine serves, while the other
+// engines hold models that nobody asks for. Guards against idle engines beside one
+// that queues: the last copy of an idle model comes back from the disk within a
+// second or so when it is asked for.
+func TestCrowdedModelTakesTheRoomOfIdleOnes(t *testing.T) {
+	w := newWorld(4, 10)
+	w.hold(0, "m00", "m01", "m02")
+	w.hold(1, "m03", "m04", "m05")
+	w.hold(2, "m06", "m07", "m08")
+	w.hold(3, "m09")
+	w.run(5 * time.Second)
+	w.demand["m00"] = Demand{Work: 2.2}
+	w.run(10 * time.Second)
+	assert.Assert(t, w.copies("m00") >= 3, "%d copies", w.copies("m00"))
+	w.demand["m00"] = Demand{Work: 0.1}
+	for i := range 9 {
+		w.demand[fmt.Sprintf("m%02d", i+1)] = Demand{Work: 0.01, Waiting: 1}
+	}
+	w.run(8 * time.Second)
+	for i := range 10 {
+		assert.Assert(t, w.copies(fmt.Sprintf("m%02d", i)) > 0, "m%02d has no copy", i)
+	}
+}
+
+// Pattern: a model at its crest has one copy, and one engine is free. Guards
+// against an order for a model that was asked for once, seconds ago, and that
+// blocks the free engine for the time of a load from the weight store.
+func TestCrestGoesBeforeAModelAskedForOnce(t *testing.T) {
+	w := newWorld(2, 4)
+	w.hold(0, "m00", "m01", "m02")
+	w.demand["m00"] = Demand{Work: 0.9}
+	w.demand["m03"] = Demand{Work: 0.005}
+	w.run(time.Second)
+	order := w.engines[1].target.Order
+	assert.Assert(t, order != nil)
+	assert.Equal(t, order.Model, "m00")
+}
+
+// Pattern: a crest while the engine that will have room is seconds from the end of
+// its order. Guards against a wait for that room when another copy could make way.
+func TestCrestDoesNotWaitForALongLoad(t *testing.T) {
+	w := newWorld(3, 4)
+	w.hold(0, "m00", "m01", "m02")
+	w.hold(1, "m01", "m02", "m03")
+	w.run(5 * time.Second)
+	busy := w.engines[2].target
+	begin(View{Now: w.now}, busy, Order{Op: Load, Model: "m03"}, 6*time.Second)
+	w.demand["m00"] = Demand{Work: 1.5}
+	w.demand["m01"], w.demand["m02"] = Demand{Work: 0.4}, Demand{Work: 0.4}
+	w.step()
+	order := w.engines[1].target.Order
+	assert.Assert(t, order != nil)
+	assert.Equal(t, order.For, "m00")
+}
+
+// Pattern: a model rises while some engines hold copies that are in use and others
+// copies that are not. Guards against the unload of one in use, which waits for its
+// requests while the crest passes.
+func TestCrestTakesTheRoomThatIsFreeAtOnce(t *testing.T) {
+	w := newWorld(3, 8)
+	w.hold(0, "m00", "m01", "m02")
+	w.hold(1, "m01", "m02", "m03")
+	w.hold(2, "m04", "m05", "m06")
+	w.run(5 * time.Second)
+	w.demand["m00"] = Demand{Work: 1.6}
+	w.demand["m01"], w.demand["m02"] = Demand{Work: 0.3}, Demand{Work: 0.3}
+	w.step()
+	assert.Assert(t, w.engines[1].target.Order == nil || w.engines[1].target.Order.Model == "m03")
+	order := w.engines[2].target.Order
+	assert.Assert(t, order != nil)
+	assert.Equal(t, order.For, "m00")
+}
