Steer long prompts away from targets that are slow at the moment

Grouped by target and time, nearly all of these pauses lie in moments in which the engine is slow, with a prompt of more than 3,000 tokens read beside the streams; one such prompt breaks 10 to 40 streams. The ratio of the time to the first output shows that too late. The pauses between events show it within some tens of milliseconds, and streams that stand still at once.

Requests that find no target count as demand as well: a model without a copy came back with one, whatever its crest was.

The log line of a request tells when its longest pause ended (gapAt).

--- a/entry/gate/answer.go
+++ b/entry/gate/answer.go
@@ -10,6 +10,7 @@
 
 	"bulrushpath.example/lib/relay"
 	"bulrushpath.example/lib/site"
+	"bulrushpath.example/lib/steer"
 )
 
 const (
@@ -80,7 +81,7 @@
 
 // passStream passes whole events on as they arrive. After an earlier break, it
 // goes on behind the last event that the client has got.
-func (c *call) passStream(answer *relay.Answer, started func()) error {
+func (c *call) passStream(t *steer.Target, answer *relay.Answer, started func()) error {
 	if answer.Header.Get(c.g.headers.Seal) == "" {
 		return errSeal
 	}
@@ -91,7 +92,7 @@
 		ev, err := events.Next()
 		now := time.Now()
 		if !last.IsZero() {
-			c.decision.gap = max(c.decision.gap, now.Sub(last))
+			c.paused(t, now, now.Sub(last))
 		}
 		last = now
 		switch {
@@ -128,6 +129,16 @@
 	}
 }
 
+// paused notes the pause before an event of a stream from t.
+func (c *call) paused(t *steer.Target, now time.Time, pause time.Duration) {
+	if pause > c.decision.gap {
+		c.decision.gap, c.decision.gapAt = pause, now.Sub(c.arrived)
+	}
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	t.Event(now, pause)
+}
+
 func (c *call) startStream(answer *relay.Answer) {
 	c.head(answer)
 	c.w.WriteHeader(answer.Status)
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -193,13 +193,11 @@
 		clear(c.tried)
 		choice = steer.Pick(now, s, &c.prompt, targets, func(*steer.Target) bool { return false })
 	}
+	c.countDemand(now, choice)
 	if choice.Target == nil {
 		until, _ = steer.LoadingUntil(c.prompt.Model, targets)
 		return choice, until
 	}
-	if c.attempts == 0 && c.prompt.Model != "" {
-		c.g.demand.Add(now, &c.prompt, choice.MissTokens)
-	}
 	t := choice.Target
 	c.decision.prompt = t.Own.PromptTokens + t.Others.PromptTokens
 	c.decision.running = t.Own.Running + t.Others.Running
@@ -211,6 +209,21 @@
 	return choice, time.Time{}
 }
 
+// countDemand counts the request as demand for its model, once; also if no target
+// holds the model, which then needs more than one copy as soon as possible. The
+// caller holds mu.
+func (c *call) countDemand(now time.Time, choice steer.Choice) {
+	if c.counted || c.prompt.Model == "" {
+		return
+	}
+	c.counted = true
+	miss := choice.MissTokens
+	if choice.Target == nil {
+		miss = c.prompt.PromptTokens
+	}
+	c.g.demand.Add(now, &c.prompt, miss)
+}
+
 func (c *call) site() steer.Site {
 	s := steer.Site{Zone: c.g.zone, Idle: func(t *steer.Target) bool {
 		return c.g.conns.Idle(relay.Target{ID: t.ID, Addr: t.Addr})
@@ -310,7 +323,7 @@
 	}
 	switch {
 	case c.route.Kind == site.Stream && answer.Status == http.StatusOK:
-		err = c.passStream(answer, started)
+		err = c.passStream(t, answer, started)
 	case c.sent:
 		// The client has the beginning of a stream, which this cannot complete.
 		err = fmt.Errorf("resumed stream answered with status %d", answer.Status)
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -52,6 +52,8 @@
 	tried map[string]bool
 	// kept is the failure of a target that waits for a better answer.
 	kept *keptAnswer
+	// counted says that the request counts as demand for its model.
+	counted bool
 	// sent says that the head of the answer has gone to the client.
 	sent bool
 	// lastEvent is the id of the last event passed on; hasEvent says that there is one.
@@ -71,6 +73,8 @@
 	// first is the time to the first output, gap the longest pause between two
 	// events of a stream, both as this instance saw them.
 	first, gap time.Duration
+	// gapAt is the time from the arrival to the end of that pause.
+	gapAt time.Duration
 	// prompt is the work that was under way at the target, in prompt tokens.
 	prompt  int
 	running int
@@ -303,7 +307,7 @@
 		e = e.Str("target", d.target).Dur("expected", d.wait).Int("choices", d.choices)
 	}
 	if c.route != nil && c.route.Kind == site.Stream {
-		e = e.Dur("gap", d.gap).Int("promptAhead", d.prompt).Int("runningAhead", d.running)
+		e = e.Dur("gap", d.gap).Dur("gapAt", d.gapAt).Int("promptAhead", d.prompt).Int("runningAhead", d.running)
 	}
 	e.Int("attempts", c.attempts).Dur("held", d.waited).Dur("first", d.first).Dur("took", time.Since(c.arrived)).Str("reason", d.reason).Msg("")
 }
--- a/lib/steer/steer.go
+++ b/lib/steer/steer.go
@@ -43,6 +43,9 @@
 	// streams that run beside it, and streamCost is what that costs for each.
 	longPrompt = 3000.0
 	streamCost = 25 * time.Millisecond
+	// slowStreamCost is what it costs besides at a target that is slow at the moment:
+	// the pause of each stream grows beyond what its client accepts.
+	slowStreamCost = 100 * time.Millisecond
 	// busyCost is added to a short prompt at a target that reads prompts all the time:
 	// its stream would pause while they are read.
 	busyCost = 1600 * time.Millisecond
@@ -139,6 +142,7 @@
 	Own, Others Load
 
 	cache cache
+	pace  pace
 	// rateAt is when Own.PromptRate was last brought up to date.
 	rateAt time.Time
 	// avoidUntil and avoidFor implement the back-off after failures to reach it.
@@ -309,7 +313,7 @@
 		base, cost = t.engineTime(now, s, r, chain, src, &c)
 	}
 	failing, slow := t.trouble(now)
-	wait := base * max(slow, 1)
+	wait := base * max(slow, t.pace.now(now))
 	if t.Slots > 0 && running >= t.Slots {
 		wait += float64(fullCost) * float64(running-t.Slots+1) / float64(t.Slots)
 	}
@@ -333,7 +337,8 @@
 	base = (t.plan(s, r, chain, src, c) + pending/prefillPerMilli) * float64(time.Millisecond)
 	base += running * float64(runningCost)
 	long := min(float64(c.MissTokens)/longPrompt, 1)
-	cost = long * running * float64(streamCost)
+	slow := (t.pace.now(now) - 1) / (paceMax - 1)
+	cost = long * running * (float64(streamCost) + slow*float64(slowStreamCost))
 	busy := min((t.promptRate(now)+t.Others.PromptRate)/(prefillPerMilli*1000), 1)
 	cost += (1 - long) * busy * float64(busyCost)
 	if r.Adapter != "" && !t.Models[r.Model].Adapters[r.Adapter] {
@@ -414,15 +419,21 @@
 // First notes the first output after the given time; base is Choice.Base.
 func (t *Target) First(now time.Time, took, base time.Duration, miss int) {
 	t.Own.PromptTokens -= miss
+	t.pace.begin(now)
 	t.avoidFor = 0
 	t.learn(now, false, float64(took+slowGrace)/float64(base+slowGrace))
 }
 
+// Event notes a pause between two events of a stream from the target.
+func (t *Target) Event(now time.Time, pause time.Duration) { t.pace.add(now, pause) }
+
 // End notes that the request is over; started says that First was called.
 func (t *Target) End(r *Request, miss int, started bool) {
 	t.Own.Running--
 	t.Own.MemoryTokens -= r.PromptTokens + r.OutputTokens
-	if !started {
+	if started {
+		t.pace.end()
+	} else {
 		t.Own.PromptTokens -= miss
 	}
 }
--- a/lib/steer/steer_test.go
+++ b/lib/steer/steer_test.go
@@ -109,6 +109,39 @@
 	assert.Equal(t, c.Target, targets[1])
 }
 
+// Pattern: an engine is slow for some hundred milliseconds, with streams running.
+// Guards against a long prompt that is read there meanwhile, so that all of its
+// streams pause beyond what their clients accept, and against an engine that is left
+// alone because it has just read a prompt, or after the moment has passed.
+func TestDraftsAvoidTargetsThatAreSlowNow(t *testing.T) {
+	targets := fleetOf(2)
+	c := Pick(start, engines, draft(1, 1), targets, all)
+	first := c.Target
+	first.Begin(start, draft(1, 1), engines, c.MissTokens)
+	first.First(start, c.Base, c.Base, c.MissTokens)
+	now := start
+	events := func(n int, pause time.Duration) {
+		for range n {
+			now = now.Add(pause)
+			first.Event(now, pause)
+		}
+	}
+	chosen := func() bool { return Pick(now, engines, draft(1, 2), targets, all).Target == first }
+	events(60, 25*time.Millisecond)
+	assert.Assert(t, chosen())
+	events(2, 110*time.Millisecond)
+	assert.Assert(t, chosen(), "two pauses beside a prompt")
+	events(4, 63*time.Millisecond)
+	assert.Assert(t, !chosen(), "slow at the moment")
+	events(1, 70*time.Millisecond)
+	events(20, 25*time.Millisecond)
+	assert.Assert(t, chosen(), "the moment has passed")
+	now = now.Add(200 * time.Millisecond)
+	assert.Assert(t, !chosen(), "its streams stand still")
+	first.End(draft(1, 1), c.MissTokens, true)
+	assert.Assert(t, chosen(), "there is no stream to judge by")
+}
+
 // Pattern: a target that is down. Guards against requests that keep failing there
 // while others could serve them, and against refusing all when there is no other.
 func TestUnreachedTargetIsLeftAlone(t *testing.T) {
