Elect a leader at once after all members have restarted

Cause: after a final fault, or a kill of all control instances, requests waited 0.5 s for a leader: members help no candidate for the election timeout after their start, because a leader that they heard before may still hold its lease. If all members have restarted, it cannot. A member now asks for a cold election after all members have told its present process that they know no leader in theirs; a member without its disk has no vote in it, but shows that the process before it ended.

Ruled out: a shorter election timeout, which slow machines would turn into needless elections.

--- /dev/null
+++ b/lib/quorum/cold_test.go
@@ -0,0 +1,130 @@
+package quorum
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpath.example/lib/wire"
+)
+
+func (s *sim) leader() *simNode {
+	for _, n := range s.nodes {
+		if n.core.role == leader && n.core.commit >= n.core.lead.first {
+			return n
+		}
+	}
+	return nil
+}
+
+// settleFor lets the group work in steps of a millisecond.
+func (s *sim) settleFor(d time.Duration) {
+	for range int(d / time.Millisecond) {
+		s.advance(time.Millisecond)
+		for _, n := range s.nodes {
+			s.persistAll(n)
+		}
+		for k := len(s.net); k > 0 && len(s.net) > 0; k-- {
+			s.deliver(0, false)
+		}
+	}
+}
+
+// Guards against a wait for the lease of a leader that cannot exist: after a
+// restart of all members, one of them without its disk, a new leader must be there before the shortest time in
+// which a member that heard a leader helps another one.
+func TestRestartOfAllElectsAtOnce(t *testing.T) {
+	for seed := range uint64(100) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		s := newSim(3, correct, r.IntN)
+		s.calm(60)
+		assert.Assert(t, s.leader() != nil)
+		s.propose(s.leader())
+		s.calm(2)
+		for i, n := range s.nodes {
+			if s.losses = 1; i == 0 && seed%2 == 0 {
+				s.loseDisk(n)
+			} else {
+				s.restart(n)
+			}
+			s.settleFor(time.Duration(r.IntN(4)) * time.Millisecond)
+		}
+		s.settleFor(simTimeout)
+		assert.NilError(t, s.err)
+		assert.Assert(t, s.leader() != nil, "no leader with seed %d", seed)
+	}
+}
+
+// electedWithinLease restarts all members but the leader, whose heartbeats are lost,
+// and reports whether another one leads before the lease of the old one has ended.
+func electedWithinLease(t *testing.T, kind naive) bool {
+	s := newSim(3, kind, rand.New(rand.NewPCG(1, 7)).IntN)
+	s.calm(60)
+	old := s.leader()
+	for _, n := range s.nodes {
+		if n != old {
+			s.restart(n)
+		}
+	}
+	for end := old.core.leaseEnd(); s.now.Before(end); {
+		s.net = slices.DeleteFunc(s.net, func(m *wire.QuorumMessage) bool { return m.Kind == wire.MessageKind_MESSAGE_KIND_APPEND })
+		s.settleFor(time.Millisecond)
+		for _, n := range s.nodes {
+			if n != old && n.core.role == leader {
+				return true
+			}
+		}
+	}
+	s.settleFor(4 * simTimeout)
+	assert.Assert(t, s.leader() != nil)
+	assert.NilError(t, s.err)
+	return false
+}
+
+// Guards against a leader that is replaced within its lease because the other
+// members have restarted; the check would notice an election without that leader's
+// answer.
+func TestRestartOfOthersKeepsTheLeader(t *testing.T) {
+	assert.Assert(t, !electedWithinLease(t, correct))
+	assert.Assert(t, electedWithinLease(t, coldBesideLeader))
+}
+
+// Guards against cold elections that break the safety of the group when most
+// members restart at the same time, again and again.
+func TestSafetyOfHerds(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		s := newSim(3, correct, r.IntN)
+		s.calm(60)
+		s.herds = true
+		for range 200 {
+			if s.pick(12) == 0 {
+				s.restartMost()
+			}
+			if s.step(); s.err != nil {
+				t.Fatalf("seed %d: %v", seed, s.err)
+			}
+		}
+	}
+}
+
+// Guards against a wait for leases after all members have restarted that only the
+// simulation avoids. The election timeout is far above what an election takes.
+func TestRestartOfAllNodesElectsAtOnce(t *testing.T) {
+	const timeout = 5 * time.Second
+	g := newGroup(t, 3, func(s *Settings) { s.ElectionTimeout = timeout })
+	g.propose("one")
+	for _, m := range g.members {
+		g.kill(m)
+	}
+	begun := time.Now()
+	for _, m := range g.members {
+		g.start(m)
+	}
+	g.leader()
+	took := time.Since(begun)
+	assert.Assert(t, took < timeout, "took %v", took)
+}
--- a/lib/quorum/core.go
+++ b/lib/quorum/core.go
@@ -163,6 +163,7 @@
 	stash    []*wire.QuorumMessage
 	incoming *incoming
 
+	cold    coldStart
 	lead    *leadership
 	seen    map[string]sighting
 	helloAt time.Time
@@ -198,6 +199,7 @@
 		c.hard.group = c.members.current().Group
 	}
 	c.resetElection()
+	c.beginCold()
 	if c.voter() && c.quorumSize() == 1 {
 		c.electionAt = now // Nobody else can have promised anything.
 	}
@@ -262,6 +264,7 @@
 		return
 	}
 	if c.now.Before(c.electionAt) {
+		c.tickCold()
 		return
 	}
 	if c.blocked || !c.voter() {
@@ -333,7 +336,7 @@
 	case wire.MessageKind_MESSAGE_KIND_TIMEOUT_NOW:
 		if m.Term == c.hard.term && c.role == follower && c.voter() && !c.blocked {
 			r.Accepted = true
-			c.startVote(true)
+			c.startVote(voteTransfer)
 		}
 	}
 }
@@ -348,6 +351,9 @@
 	}
 	c.learn(m.Membership)
 	c.seen[m.From] = saw
+	if m.Empty && coldReply(m) {
+		c.stepColdReply(m)
+	}
 	if !names(c.members.current(), m.From, m.FromDisk) || !c.sameGroup(m) || m.Empty {
 		return
 	}
--- a/lib/quorum/election.go
+++ b/lib/quorum/election.go
@@ -28,14 +28,26 @@
 	c.votes = map[string]bool{c.cfg.id: true}
 	c.retryElection()
 	if c.won() {
-		c.startVote(false)
+		c.startVote(voteSilence)
 		return
 	}
-	c.askVotes(wire.MessageKind_MESSAGE_KIND_PRE_VOTE, c.hard.term+1, false)
+	c.askVotes(wire.MessageKind_MESSAGE_KIND_PRE_VOTE, c.hard.term+1, voteSilence)
 }
 
-// startVote starts an election; transfer says that the leader asked for it.
-func (c *core) startVote(transfer bool) {
+// voteCause says why an election is held, which decides whom it must wait for.
+type voteCause int
+
+const (
+	// voteSilence: no leader was heard for the election timeout.
+	voteSilence voteCause = iota
+	// voteTransfer: the leader asked for it.
+	voteTransfer
+	// voteCold: all members have restarted.
+	voteCold
+)
+
+// startVote starts an election.
+func (c *core) startVote(cause voteCause) {
 	c.becomeFollower(c.hard.term+1, "")
 	c.role = candidate
 	c.hard.vote, c.hard.voteDisk = c.cfg.id, c.cfg.disk
@@ -46,29 +58,39 @@
 		c.becomeLeader()
 		return
 	}
-	c.askVotes(wire.MessageKind_MESSAGE_KIND_VOTE, c.hard.term, transfer)
+	c.askVotes(wire.MessageKind_MESSAGE_KIND_VOTE, c.hard.term, cause)
 }
 
-func (c *core) askVotes(kind wire.MessageKind, term uint64, transfer bool) {
+func (c *core) askVotes(kind wire.MessageKind, term uint64, cause voteCause) {
 	for _, m := range c.members.current().Members {
 		if m.Id == c.cfg.id || !m.Voter {
 			continue
 		}
-		r := c.request(kind, m.Id, m.DiskId)
-		r.Term, r.Transfer, r.Entries = term, transfer, c.firstEntry()
-		r.LastIndex, r.LastTerm = c.log.last(), c.log.lastTerm()
+		r := c.voteRequest(kind, m, term)
+		r.Transfer, r.Cold = cause == voteTransfer, cause == voteCold
 		c.out.messages = append(c.out.messages, r)
 	}
 }
 
-func (c *core) won() bool {
+// voteRequest returns a request for a (pre-)vote in term.
+func (c *core) voteRequest(kind wire.MessageKind, m *wire.Member, term uint64) *wire.QuorumMessage {
+	r := c.request(kind, m.Id, m.DiskId)
+	r.Term, r.Entries = term, c.firstEntry()
+	r.LastIndex, r.LastTerm = c.log.last(), c.log.lastTerm()
+	return r
+}
+
+func (c *core) won() bool { return c.wonBy(c.votes) }
+
+// wonBy says that the votes are those of a majority.
+func (c *core) wonBy(votes map[string]bool) bool {
 	voters, granted := 0, 0
 	for _, m := range c.members.current().Members {
 		if !m.Voter {
 			continue
 		}
 		voters++
-		if c.votes[m.Id] {
+		if votes[m.Id] {
 			granted++
 		}
 	}
@@ -82,7 +104,7 @@
 	if c.empty() || c.blocked {
 		return false
 	}
-	return m.Transfer || c.role != leader && c.now.Sub(c.heard) >= c.sticky()
+	return m.Transfer || m.Cold && c.cold.possible || c.role != leader && c.now.Sub(c.heard) >= c.sticky()
 }
 
 // complete says that the log of the sender of m holds all that this log holds.
@@ -94,6 +116,7 @@
 }
 
 func (c *core) stepPreVote(m, r *wire.QuorumMessage) {
+	r.Cold = m.Cold && c.cold.possible
 	if c.mayHelp(m) && m.Term > c.hard.term && c.complete(m) {
 		r.Accepted, r.Term = true, m.Term
 	}
@@ -113,12 +136,16 @@
 	c.hard.vote, c.hard.voteDisk = m.From, m.FromDisk
 	c.hardChanged()
 	c.resetElection()
+	c.waitCold()
 	r.Accepted = true
 }
 
 func (c *core) stepVoteReply(m *wire.QuorumMessage) {
 	pre := m.Kind == wire.MessageKind_MESSAGE_KIND_PRE_VOTE
 	switch {
+	case coldReply(m):
+		c.stepColdReply(m)
+		return
 	case !m.Accepted:
 		return
 	case pre && c.role == preCandidate && m.Term == c.hard.term+1:
@@ -131,7 +158,7 @@
 		return
 	}
 	if pre {
-		c.startVote(false)
+		c.startVote(voteSilence)
 	} else {
 		c.becomeLeader()
 	}
--- a/lib/quorum/follow.go
+++ b/lib/quorum/follow.go
@@ -31,6 +31,7 @@
 	}
 	c.becomeFollower(m.Term, m.From)
 	c.heard = c.now
+	c.endCold()
 	return true
 }
 
--- a/lib/quorum/lead.go
+++ b/lib/quorum/lead.go
@@ -64,6 +64,7 @@
 
 func (c *core) becomeLeader() {
 	c.role, c.leaderID, c.votes = leader, c.cfg.id, nil
+	c.endCold()
 	c.lead = &leadership{since: c.now, first: c.log.last() + 1, peers: map[string]*progress{}}
 	c.syncPeers(c.lead.first)
 	c.propose(nil, nil)
