--- a/lib/poison/ack_test.go
+++ b/lib/poison/ack_test.go
@@ -38,16 +38,16 @@
 // crashes that happened without a leader have reached it.
 func TestRulingWaitsForReports(t *testing.T) {
 	var b Book
-	clear, suspect := wire.Verdict_VERDICT_CLEAR, wire.Verdict_VERDICT_SUSPECT
+	cleared, suspect := wire.Verdict_VERDICT_CLEAR, wire.Verdict_VERDICT_SUSPECT
 	for _, c := range []struct {
 		verdict    wire.Verdict
 		permit     bool
 		done, warm bool
 		want       Action
 	}{
-		{clear, false, false, false, ActionWait},
-		{clear, false, false, true, ActionRun},
-		{clear, false, true, false, ActionRun},
+		{cleared, false, false, false, ActionWait},
+		{cleared, false, false, true, ActionRun},
+		{cleared, false, true, false, ActionRun},
 		{suspect, false, false, false, ActionWait},
 		{suspect, true, false, true, ActionAlone},
 		{wire.Verdict_VERDICT_BLOCKED, false, false, false, ActionRefuse},
