Compose entry and agent as packages; keep the configuration's time limits

entry and agent were main packages, so that nothing but their own mains could run them. Each is a package with a Run function and a small main now, as control is.

The entry on the platform kept fixed limits of 10 s for a header and 75 s for an idle connection, whatever the configuration said. gate.Listener gives each connection the limits in effect when it arrives, with 1 s more for pauses of the process itself; a change of the limits closes no connection. TestTimeoutsOfTheConfiguration fails with fixed limits.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,4 +1,6 @@
-package main
+// Package agent runs beside one target: it announces the target, admits and runs
+// its requests, and is the only writer of its load and unload commands.
+package agent
 
 import (
 	"context"
@@ -34,7 +36,7 @@
 
 // agent is the process beside one target.
 type agent struct {
-	set    *settings
+	set    *Settings
 	log    *log.Logger
 	scope  tally.Scope
 	tracer trace.Tracer
@@ -124,7 +126,17 @@
 	return j
 }
 
-func newAgent(s *settings, p *daemon.Process) (*agent, error) {
+// Run serves the target of the settings until ctx ends or the target leaves, and
+// all requests in progress have ended.
+func Run(ctx context.Context, p *daemon.Process, s *Settings) error {
+	a, err := newAgent(s, p)
+	if err != nil {
+		return err
+	}
+	return a.run(ctx)
+}
+
+func newAgent(s *Settings, p *daemon.Process) (*agent, error) {
 	u, err := url.Parse(s.Agent.URL)
 	if err != nil {
 		return nil, fmt.Errorf("parse target url: %w", err)
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -1,4 +1,4 @@
-package main
+package agent
 
 import (
 	"bytes"
@@ -207,7 +207,7 @@
 func TestCrashIsReportedFirst(t *testing.T) {
 	for _, restart := range []bool{false, true} {
 		arrived := make(chan string, 9)
-		e, b := newEngineBench(t, func(s *settings) { s.Agent.Slots = 2 }, held(arrived, nil))
+		e, b := newEngineBench(t, func(s *Settings) { s.Agent.Slots = 2 }, held(arrived, nil))
 		results := make(chan result, 3)
 		for _, fp := range []string{"f1", "f2", "waiting"} {
 			req := generateRequest()
@@ -277,7 +277,7 @@
 func TestDrain(t *testing.T) {
 	for _, byEngine := range []bool{false, true} {
 		arrived, release := make(chan string, 9), make(chan struct{})
-		e, b := newEngineBench(t, func(s *settings) { s.Agent.Slots = 1 }, held(arrived, release))
+		e, b := newEngineBench(t, func(s *Settings) { s.Agent.Slots = 1 }, held(arrived, release))
 		slow := &slowStream{ctx: context.Background(), ends: make(chan *wire.End), release: make(chan struct{})}
 		running := generateRequest()
 		running.Protocol, running.RequestId = 1, []byte("r")
@@ -334,7 +334,7 @@
 // against borrowed work that keeps a slot which the owner needs.
 func TestCancelAndReclaim(t *testing.T) {
 	arrived := make(chan string, 9)
-	e, b := newEngineBench(t, func(s *settings) { s.Agent.Slots = 1 }, held(arrived, nil))
+	e, b := newEngineBench(t, func(s *Settings) { s.Agent.Slots = 1 }, held(arrived, nil))
 	b.control.with(func() {
 		b.control.reply.Config = &wire.Config{Version: 3, Teams: []*wire.Team{{Name: "own", LendPercent: 100}}}
 	})
@@ -405,7 +405,7 @@
 // Guards against an engine that is slow to refuse: all of a burst beyond the
 // queue is answered, as not run or completed, and nothing is lost.
 func TestBurstIsAnswered(t *testing.T) {
-	_, b := newEngineBench(t, func(s *settings) { s.Agent.QueueLimit = 4 }, echo)
+	_, b := newEngineBench(t, func(s *Settings) { s.Agent.QueueLimit = 4 }, echo)
 	var wg sync.WaitGroup
 	for i := range 64 {
 		wg.Go(func() {
@@ -425,7 +425,7 @@
 	path := filepath.Join(t.TempDir(), "a.ini")
 	text := "[process]\nname = a\nzone = z\n[agent]\ntarget = t\nlisten = 127.0.0.1:1\nurl = x\nkind = plain\nslots = -1\ncontrol = 127.0.0.1:2, 127.0.0.1:3\n"
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
-	err := daemon.LoadSettings(path, new(settings))
+	err := daemon.LoadSettings(path, new(Settings))
 	var findings *check.Error
 	assert.Assert(t, errors.As(err, &findings))
 	lines := map[string]int{}
--- a/agent/claim.go
+++ b/agent/claim.go
@@ -1,4 +1,4 @@
-package main
+package agent
 
 import (
 	"context"
--- a/agent/claim_test.go
+++ b/agent/claim_test.go
@@ -1,4 +1,4 @@
-package main
+package agent
 
 import (
 	"bufio"
@@ -224,7 +224,7 @@
 		case <-r.Context().Done():
 		}
 	}
-	b := newBench(t, kindEngine, "http://"+e.addr, func(s *settings) { s.Agent.Slots = 1 })
+	b := newBench(t, kindEngine, "http://"+e.addr, func(s *Settings) { s.Agent.Slots = 1 })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan result, 2)
 	for _, key := range []string{"running", "waiting"} {
--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -1,4 +1,4 @@
-package main
+package agent
 
 import (
 	"context"
@@ -134,7 +134,7 @@
 }
 
 // newEngineBench starts an agent beside a fake engine with the given reaction.
-func newEngineBench(t *testing.T, change func(*settings),
+func newEngineBench(t *testing.T, change func(*Settings),
 	generate func(http.ResponseWriter, *http.Request, generateJSON),
 ) (*fakeEngine, *bench) {
 	e := newFakeEngine(t)
@@ -214,9 +214,9 @@
 }
 
 // newBench starts an agent for the target at url.
-func newBench(t *testing.T, kind, url string, change func(*settings)) *bench {
+func newBench(t *testing.T, kind, url string, change func(*Settings)) *bench {
 	c := newFakeControl(t)
-	s := new(settings)
+	s := new(Settings)
 	s.Defaults()
 	s.Process.Name, s.Process.Zone = "a1", "z1"
 	s.Agent.Target, s.Agent.Kind, s.Agent.URL, s.Agent.Team = "t1", kind, url, "own"
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -1,4 +1,4 @@
-package main
+package agent
 
 import (
 	"net/netip"
@@ -16,14 +16,14 @@
 	kindPlain  = "plain"
 )
 
-// settings is the settings file of an agent.
-type settings struct {
+// Settings is the settings file of an agent.
+type Settings struct {
 	Process daemon.Common
-	Agent   agentSection
+	Agent   Section
 }
 
-// agentSection is the section [agent].
-type agentSection struct {
+// Section is the section [agent].
+type Section struct {
 	// Target names the target; unique in a deployment.
 	Target string `ini:"target"`
 	// Listen is the address of the drpc service.
@@ -60,7 +60,7 @@
 const plainSlots = 64
 
 // Defaults implements daemon.Settings.
-func (s *settings) Defaults() {
+func (s *Settings) Defaults() {
 	s.Process.Defaults()
 	s.Agent.Kind = kindEngine
 	s.Agent.QueueLimit = 256
@@ -71,12 +71,12 @@
 }
 
 // Sections implements daemon.Settings.
-func (s *settings) Sections() map[string]any {
+func (s *Settings) Sections() map[string]any {
 	return map[string]any{"process": &s.Process, "agent": &s.Agent}
 }
 
 // Validate implements daemon.Settings.
-func (s *settings) Validate(out *check.List) {
+func (s *Settings) Validate(out *check.List) {
 	s.Process.Validate(out)
 	g := &s.Agent
 	if g.Target == "" {
--- a/e2e/proc/proc.go
+++ b/e2e/proc/proc.go
@@ -17,8 +17,8 @@
 
 // programs maps the name of each program to its package in the workspace.
 var programs = map[string]string{
-	"bulrush-entry":   "./entry",
-	"bulrush-agent":   "./agent",
+	"bulrush-entry":   "./entry/bulrush-entry",
+	"bulrush-agent":   "./agent/bulrush-agent",
 	"bulrush-control": "./control/bulrush-control",
 	"bulrush-standin": "./standin",
 	"bulrush-load":    "./load",
--- a/entry/main.go
+++ b/entry/bulrush-entry/main.go
@@ -6,13 +6,14 @@
 	"context"
 	"os"
 
+	"bulrushpath.example/entry"
 	"bulrushpath.example/lib/daemon"
 )
 
 const usage = "Takes the requests of callers over HTTP and routes them to targets."
 
 func main() {
-	var s Settings
+	var s entry.Settings
 	os.Exit(daemon.Main("entry", usage, &s, &s.Process,
-		func(ctx context.Context, p *daemon.Process) error { return serve(ctx, p, &s.Entry) }))
+		func(ctx context.Context, p *daemon.Process) error { return entry.Run(ctx, p, &s.Entry) }))
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -1,4 +1,4 @@
-package main
+package entry
 
 import (
 	"bytes"
@@ -91,7 +91,7 @@
 }
 
 // readHeaders takes over the headers that all requests share.
-func (c *call) readHeaders(h http.Header, cfg *EntrySettings, policy time.Duration, now time.Time) *fault {
+func (c *call) readHeaders(h http.Header, cfg *Section, policy time.Duration, now time.Time) *fault {
 	c.idempotent = true
 	if v := h.Get("Bulrush-Non-Idempotent"); v != "" {
 		switch v {
@@ -184,7 +184,7 @@
 }
 
 // readBody reads the whole body within the limits of size and time.
-func readBody(w http.ResponseWriter, r *http.Request, cfg *EntrySettings) ([]byte, *fault) {
+func readBody(w http.ResponseWriter, r *http.Request, cfg *Section) ([]byte, *fault) {
 	rc := http.NewResponseController(w)
 	if r.ContentLength > int64(cfg.MaxBody) {
 		return nil, tooLarge(cfg)
@@ -209,7 +209,7 @@
 	return buf.Bytes(), nil
 }
 
-func tooLarge(cfg *EntrySettings) *fault {
+func tooLarge(cfg *Section) *fault {
 	return refuse(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body may have at most %d bytes", cfg.MaxBody)
 }
 
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -1,4 +1,4 @@
-package main
+package entry
 
 import (
 	"bytes"
@@ -236,7 +236,7 @@
 }
 
 // newRig starts an entry instance before n agents that all serve the model and the service.
-func newRig(t testing.TB, n int, opts ...func(*rig, *EntrySettings)) *rig {
+func newRig(t testing.TB, n int, opts ...func(*rig, *Section)) *rig {
 	r := &rig{t: t, control: &fakeControl{
 		config: testConfig(), term: 1, version: 1, warm: true,
 		claims: map[string]*wire.ClaimRequest{}, verdicts: map[string]wire.Verdict{},
@@ -268,7 +268,7 @@
 }
 
 // startEntry starts an entry instance, which the rig's requests go to from now on.
-func (r *rig) startEntry(cfg *EntrySettings) {
+func (r *rig) startEntry(cfg *Section) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(r.t, err)
 	r.url = "http://" + ln.Addr().String()
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -1,4 +1,4 @@
-package main
+package entry
 
 import (
 	"net/netip"
--- /dev/null
+++ b/entry/gate/listen_test.go
@@ -0,0 +1,82 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpath.example/lib/site"
+)
+
+// wait bounds what must happen; it is far above what it takes.
+const wait = 20 * time.Second
+
+// limitedBy puts a configuration with these limits into effect.
+func (b *bed) limitedBy(version uint64, header, idle time.Duration) {
+	b.gate.index.Store(site.NewIndex(&site.Config{
+		Version: version, Routes: routes(), Services: []site.Service{{Name: "plain"}},
+		Limits: site.Limits{HeaderTimeout: header, IdleTimeout: idle},
+	}))
+}
+
+// closedWithin reports whether the other side closes the connection in time.
+func closedWithin(t *testing.T, c net.Conn, d time.Duration) bool {
+	t.Helper()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(d)))
+	_, err := io.Copy(io.Discard, c)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Guards against clients that hold a connection longer than the configuration in
+// effect allows, and against a change of the limits that closes a connection whose
+// client was promised more.
+func TestTimeoutsOfTheConfiguration(t *testing.T) {
+	b := newBed(t, "plain", sealed(http.StatusOK, "yes"))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := b.gate.Listen(ln)
+	served := make(chan error, 1)
+	go func() { served <- l.Serve() }()
+	dial := func(text string) net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = io.WriteString(c, text)
+		assert.NilError(t, err)
+		return c
+	}
+	const request = "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nT-Id: 1\r\n\r\n"
+	answer := func(c net.Conn) {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, errors.Join(err, resp.Body.Close()))
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+
+	b.limitedBy(6, time.Minute, time.Minute)
+	patient := dial(request)
+	answer(patient)
+	b.limitedBy(7, 50*time.Millisecond, 50*time.Millisecond)
+	idle, slow := dial(request), dial(request[:30])
+	answer(idle)
+	assert.Assert(t, closedWithin(t, slow, pauseSlack+wait))
+	assert.Assert(t, closedWithin(t, idle, pauseSlack+wait))
+	_, err = io.WriteString(patient, request)
+	assert.NilError(t, err)
+	answer(patient)
+
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	assert.NilError(t, l.Shutdown(ctx))
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+	assert.NilError(t, l.Close())
+}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -1,4 +1,4 @@
-package main
+package entry
 
 import (
 	"bufio"
@@ -46,7 +46,7 @@
 // Guards against refusals with the wrong status, without an outcome, a trace or
 // the error body.
 func TestRefusals(t *testing.T) {
-	r := newRig(t, 1, func(_ *rig, cfg *EntrySettings) {
+	r := newRig(t, 1, func(_ *rig, cfg *Section) {
 		cfg.MaxBody, cfg.MaxHeader, cfg.BodyTimeout = 1000, 2000, 50*time.Millisecond
 		cfg.TargetWait = 10 * time.Millisecond
 	})
@@ -191,7 +191,7 @@
 // Guards against a second run of a claimed request, against a dispatch without a
 // claim, and against a key that stays taken after a certain not-run.
 func TestClaims(t *testing.T) {
-	r := newRig(t, 2, func(_ *rig, cfg *EntrySettings) { cfg.ControlTimeout = 300 * time.Millisecond })
+	r := newRig(t, 2, func(_ *rig, cfg *Section) { cfg.ControlTimeout = 300 * time.Millisecond })
 	var ran atomic.Int64
 	r.runAll(func(req *wire.RunRequest, send func(*wire.RunEvent) error) error {
 		ran.Add(1)
@@ -304,7 +304,7 @@
 // Guards against a stop that cuts a stream, that refuses requests which the load
 // balancer still sends, or that stays ready.
 func TestDrain(t *testing.T) {
-	r := newRig(t, 1, func(_ *rig, cfg *EntrySettings) { cfg.DrainQuiet = 300 * time.Millisecond })
+	r := newRig(t, 1, func(_ *rig, cfg *Section) { cfg.DrainQuiet = 300 * time.Millisecond })
 	held := make(chan struct{})
 	r.runAll(func(req *wire.RunRequest, send func(*wire.RunEvent) error) error {
 		for i, ev := range events(req, "dove", "tail") {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -1,4 +1,6 @@
-package main
+// Package entry takes the requests of callers over HTTP, routes each to a target
+// and checks its answer. See docs/api.md.
+package entry
 
 import (
 	"context"
@@ -12,8 +14,8 @@
 	"bulrushpath.example/lib/daemon"
 )
 
-// serve runs an entry instance until ctx ends and all requests are answered.
-func serve(ctx context.Context, p *daemon.Process, cfg *EntrySettings) error {
+// Run takes requests of callers until ctx ends and all of them are answered.
+func Run(ctx context.Context, p *daemon.Process, cfg *Section) error {
 	ln, err := net.Listen("tcp", cfg.Listen.String())
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
--- a/entry/server.go
+++ b/entry/server.go
@@ -1,4 +1,4 @@
-package main
+package entry
 
 import (
 	"context"
@@ -27,7 +27,7 @@
 
 // server is an entry instance.
 type server struct {
-	cfg    *EntrySettings
+	cfg    *Section
 	name   string
 	zone   string
 	log    *log.Logger
@@ -56,7 +56,7 @@
 	taskCtx context.Context
 }
 
-func newServer(p *daemon.Process, cfg *EntrySettings, opts ...link.PoolOption) *server {
+func newServer(p *daemon.Process, cfg *Section, opts ...link.PoolOption) *server {
 	pool := link.NewPool(opts...)
 	ctx, stop := context.WithCancel(context.Background())
 	return &server{
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,4 +1,4 @@
-package main
+package entry
 
 import (
 	"net/netip"
@@ -16,11 +16,11 @@
 // Settings holds the settings of an entry instance.
 type Settings struct {
 	Process daemon.Common
-	Entry   EntrySettings
+	Entry   Section
 }
 
-// EntrySettings is the section [entry].
-type EntrySettings struct {
+// Section is the section [entry].
+type Section struct {
 	// Listen is the address for callers.
 	Listen netip.AddrPort `ini:"listen"`
 	// Control lists the addresses of all control instances.
@@ -54,7 +54,7 @@
 // Defaults sets the values of keys that a file may leave out.
 func (s *Settings) Defaults() {
 	s.Process.Defaults()
-	s.Entry = EntrySettings{
+	s.Entry = Section{
 		MaxBody:        8 << 20,
 		MaxHeader:      32 << 10,
 		HeaderTimeout:  5 * time.Second,
--- a/entry/whole_test.go
+++ b/entry/whole_test.go
@@ -1,4 +1,4 @@
-package main
+package entry
 
 import (
 	"context"
@@ -106,7 +106,7 @@
 func TestWholeAnswerOrVisibleError(t *testing.T) {
 	var mu sync.Mutex
 	fates, ran := map[string]*spoiled{}, map[string]bool{}
-	r := newRig(t, 3, func(r *rig, cfg *EntrySettings) {
+	r := newRig(t, 3, func(r *rig, cfg *Section) {
 		r.runAll(func(req *wire.RunRequest, send func(*wire.RunEvent) error) error {
 			prompt := string(req.GetBody())
 			evs, how, place := events(req, tokensOf(prompt)...), "none", 0
@@ -267,7 +267,7 @@
 	ran := map[string]int{}
 	var mu sync.Mutex
 	refuseFirst := false
-	r := newRig(t, 2, func(r *rig, _ *EntrySettings) {
+	r := newRig(t, 2, func(r *rig, _ *Section) {
 		r.runAll(func(req *wire.RunRequest, send func(*wire.RunEvent) error) error {
 			mu.Lock()
 			refused := refuseFirst
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,8 +3,10 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin
-for m in entry agent standin load bench; do
+for m in standin load bench; do
 	go build -o "bin/bulrush-$m" "./$m"
 done
-go build -o bin/bulrush-control ./control/bulrush-control
+for m in entry agent control; do
+	go build -o "bin/bulrush-$m" "./$m/bulrush-$m"
+done
 go build -o bin/bulrushpath ./ctl
