Stop relayed requests that crash their targets

Cause: on the relayed path nothing connected the crashes of several targets with the request that they ran; it was bounded only by the attempts of each client's try, so that a request that comes again takes down one target after the other.

The entry instances report requests that a target broke off as a process that ends does; the leader counts different processes for each fingerprint. Two make it a suspect, which is sent to one target only, three block it for ten minutes. Ruled out: lib/state's record of suspects, which blocks after two crashes and runs suspects alone; with some 64 requests lost at each crash of an engine that would hold up ordinary ones.

Tests: TestRequestThatCrashesTargetsIsBlocked, TestLostRequestsAreCountedTogether and those of poison.Count.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -13,6 +13,7 @@
 
 	"bulrushpath.example/lib/fleet"
 	"bulrushpath.example/lib/link"
+	"bulrushpath.example/lib/poison"
 	"bulrushpath.example/lib/scale"
 	"bulrushpath.example/lib/site"
 	"bulrushpath.example/lib/wire"
@@ -68,6 +69,8 @@
 	loads loadTotals
 	// prompts are the cached prompts reported last.
 	prompts promptLog
+	// lost counts the targets that were lost with the same request.
+	lost poison.Count
 	// index is the decoded document of indexVersion.
 	index        *site.Index
 	indexVersion uint64
@@ -119,6 +122,7 @@
 	f.planners = make(map[string]*scale.Planner)
 	f.entries = make(map[string]*entryState)
 	f.prompts = promptLog{}
+	f.lost = poison.Count{}
 	f.loads = loadTotals{sums: make(map[string]*wire.TargetLoad)}
 	f.table = fleet.New(now, term, f.records)
 }
@@ -211,6 +215,7 @@
 		return err
 	}
 	f.count.announcements.Inc(1)
+	f.lost.Alive(now, poison.Process{Target: a.ID, BornMillis: a.Born.UnixMilli()})
 	before, known := f.table.Lookup(a.ID)
 	if known && before.Born.Before(a.Born) {
 		delete(f.stations, a.ID)
@@ -331,6 +336,7 @@
 	}
 	f.svc.machineMu.RUnlock()
 	reply.Control = f.control
+	reply.Suspects = f.takeLost(now, req)
 	f.prompts.add(req.GetName(), req.GetCached())
 	held := req.GetCachedSequence()
 	if req.GetTerm() != term {
@@ -340,6 +346,25 @@
 	return reply, term, nil
 }
 
+// takeLost counts the requests that an entry instance lost with their targets, and
+// returns those that should not be sent like others; the caller holds mu.
+func (f *Fleet) takeLost(now time.Time, req *wire.FleetRequest) []*wire.Suspect {
+	for _, l := range req.GetLost() {
+		if len(l.GetFingerprint()) != poison.Size {
+			continue
+		}
+		f.lost.Lost(now, poison.Fingerprint(l.GetFingerprint()), poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
+		f.log.Warn().Str("event", "requestLost").Str("entry", req.GetName()).Str("target", l.GetTarget()).
+			Hex("fingerprint", l.GetFingerprint()).Msg("")
+	}
+	for _, fp := range req.GetCompleted() {
+		if len(fp) == poison.Size {
+			f.lost.Succeeded(poison.Fingerprint(fp))
+		}
+	}
+	return f.lost.Suspects(now)
+}
+
 func (f *Fleet) dropEntry(name string) {
 	if e := f.entries[name]; e != nil {
 		f.loads.replace(e.loads, nil)
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"bulrushpath.example/lib/fleet"
 	"bulrushpath.example/lib/link"
+	"bulrushpath.example/lib/poison"
 	"bulrushpath.example/lib/scale"
 	"bulrushpath.example/lib/site"
 	"bulrushpath.example/lib/wire"
@@ -398,6 +399,36 @@
 	assert.Equal(t, len(report("e3", 4).GetLoads()), 0)
 }
 
+// Guards against a request that takes down more targets because different entry
+// instances lost it, and against a block because targets broke off answers that
+// they made, without a crash.
+func TestLostRequestsAreCountedTogether(t *testing.T) {
+	e := newFakeEngine()
+	f := startFleet(t, e)
+	announce(t, f, e, 1)
+	fp := make([]byte, poison.Size)
+	report := func(name, target string, completed ...[]byte) wire.Verdict {
+		req := &wire.FleetRequest{Protocol: link.Protocol, Name: name, DocumentVersion: 3, Completed: completed}
+		if target != "" {
+			req.Lost = []*wire.LostRequest{{Fingerprint: fp, Target: target, BornMillis: 1}}
+		}
+		reply, err := f.Report(t.Context(), req)
+		assert.NilError(t, err)
+		if len(reply.GetSuspects()) == 0 {
+			return wire.Verdict_VERDICT_CLEAR
+		}
+		return reply.GetSuspects()[0].GetVerdict()
+	}
+	assert.Equal(t, report("e1", "t1"), wire.Verdict_VERDICT_CLEAR)
+	assert.Equal(t, report("e2", "t2"), wire.Verdict_VERDICT_SUSPECT)
+	assert.Equal(t, report("e1", "t3"), wire.Verdict_VERDICT_BLOCKED)
+	assert.Equal(t, report("e3", ""), wire.Verdict_VERDICT_BLOCKED)
+	time.Sleep(1100 * time.Millisecond)
+	announce(t, f, e, 2)
+	assert.Equal(t, report("e3", ""), wire.Verdict_VERDICT_SUSPECT, "t1 is alive")
+	assert.Equal(t, report("e3", "", fp), wire.Verdict_VERDICT_CLEAR, "a target completed it")
+}
+
 // Guards against reports without bound at the size to design for, and against
 // changes that take longer than a second to reach an instance.
 func TestReportPeriod(t *testing.T) {
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -80,6 +80,7 @@
 		}
 		switch res {
 		case answered:
+			c.completedSuspect()
 			return nil
 		case gone:
 			c.decision.outcome = "clientLeft"
@@ -98,6 +99,10 @@
 		case broken:
 			c.ran++
 			c.tried[choice.Target.ID] = true
+			c.lostWith(choice.Target, err)
+			if _, suspect := c.verdict(); suspect {
+				return &failure{status: http.StatusBadGateway, reason: "targets are lost with this request: " + err.Error()}
+			}
 			if !c.route.Repeatable() || c.ran >= max(c.route.MaxAttempts, 1) {
 				return &failure{status: http.StatusBadGateway, reason: "answer incomplete: " + err.Error()}
 			}
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -96,6 +96,8 @@
 	// cachedSeen numbers the last one heard of from other instances.
 	cached     []*wire.CachedPrompt
 	cachedSeen uint64
+	// suspects are requests that crash their targets, as it seems.
+	suspects suspects
 	// adapters holds the adapters used since the last report, by target.
 	adapters map[string]map[string]bool
 }
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -22,6 +22,7 @@
 
 	"bulrushpath.example/lib/daemon"
 	"bulrushpath.example/lib/link"
+	"bulrushpath.example/lib/poison"
 	"bulrushpath.example/lib/site"
 	"bulrushpath.example/lib/steer"
 	"bulrushpath.example/lib/wire"
@@ -41,6 +42,8 @@
 	fetched []string
 	refuse  string
 	down    bool
+	// count judges the lost requests as the leader does.
+	count poison.Count
 }
 
 func (c *fakeControl) Report(_ context.Context, req *wire.FleetRequest) (*wire.FleetReply, error) {
@@ -52,6 +55,10 @@
 	r := &wire.FleetReply{
 		Protocol: link.Protocol, Term: 1, TableVersion: 1, Whole: true, Warm: true, Targets: c.targets, Entries: 1,
 	}
+	for _, l := range req.GetLost() {
+		c.count.Lost(time.Now(), poison.Fingerprint(l.GetFingerprint()), poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
+	}
+	r.Suspects = c.count.Suspects(time.Now())
 	if req.GetDocumentVersion() < c.version {
 		r.Document = &wire.Document{Version: c.version, Content: []byte("x")}
 	}
@@ -578,3 +585,53 @@
 	defer mu.Unlock()
 	assert.DeepEqual(t, ids, []string{"r0", "r1", "r2"})
 }
+
+// Guards against a request that takes down one target after the other, each time
+// its client comes back, also while control cannot be reached, and against a
+// refusal of other requests.
+func TestRequestThatCrashesTargetsIsBlocked(t *testing.T) {
+	crash := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/once/poison" {
+			cut(w, r)
+			return
+		}
+		sealed(http.StatusOK, "yes")(w, r)
+	}
+	b := newBed(t, "plain", crash, crash, crash, crash)
+	send := func(path string) int {
+		res, _, err := b.ask(t.Context(), http.MethodPost, path, "body", nil)
+		assert.NilError(t, err)
+		return res.StatusCode
+	}
+	lost := map[string]bool{}
+	for i := 0; len(lost) < 3; i++ {
+		assert.Assert(t, i < 100)
+		assert.Equal(t, send("/once/poison"), http.StatusBadGateway)
+		b.control.mu.Lock()
+		b.control.down = i%2 == 0
+		b.control.mu.Unlock()
+		err := b.gate.report(t.Context())
+		assert.Equal(t, err != nil, i%2 == 0, "a report without an answer is sent again")
+		for _, f := range b.targets {
+			for _, r := range f.requests() {
+				if r.uri == "/once/poison" {
+					lost[f.id] = true
+				}
+			}
+		}
+	}
+	b.control.mu.Lock()
+	b.control.down = false
+	b.control.mu.Unlock()
+	assert.NilError(t, b.gate.report(t.Context()))
+	reached := func() (n int) {
+		for _, f := range b.targets {
+			n += len(f.requests())
+		}
+		return n
+	}
+	before := reached()
+	assert.Equal(t, send("/once/poison"), http.StatusServiceUnavailable)
+	assert.Equal(t, reached(), before)
+	assert.Equal(t, send("/once/other"), http.StatusOK)
+}
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -100,6 +100,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	f := c.read()
+	if f == nil {
+		f = c.blocked()
+	}
 	if f == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 		defer cancel()
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -74,6 +74,7 @@
 		return err
 	})
 	if err != nil {
+		g.keepReport(req)
 		g.met.lost(time.Unix(0, g.contact.Load()))
 		return fmt.Errorf("report to control: %w", err)
 	}
@@ -102,9 +103,22 @@
 	req.Demand = g.demand.Report(now)
 	req.Cached, req.CachedSequence = g.cached, g.cachedSeen
 	g.cached = nil
+	req.Lost, req.Completed = g.suspects.lost, g.suspects.completed
+	g.suspects.lost, g.suspects.completed = nil, nil
 	return req
 }
 
+// keepReport keeps what a report without an answer said only once.
+func (g *Gate) keepReport(req *wire.FleetRequest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := &g.suspects
+	s.lost = slices.Concat(req.GetLost(), s.lost)
+	s.lost = s.lost[:min(len(s.lost), maxLost)]
+	s.completed = slices.Concat(req.GetCompleted(), s.completed)
+	s.completed = s.completed[:min(len(s.completed), completedKept)]
+}
+
 // takeDocument puts a newer configuration into effect.
 func (g *Gate) takeDocument(doc *wire.Document) {
 	if doc == nil {
@@ -142,6 +156,10 @@
 	}
 	g.setBudget(int(reply.GetEntries()))
 	g.takeCached(reply)
+	if n := g.suspects.take(now, reply.GetSuspects()); n > 0 {
+		g.log.Warn().Str("event", "suspectsChanged").Uint64("term", reply.GetTerm()).Int("news", n).
+			Int("suspects", len(g.suspects.verdicts)).Msg("")
+	}
 	g.control = g.control[:0]
 	for _, text := range reply.GetControl() {
 		if addr, err := netip.ParseAddrPort(text); err == nil {
--- /dev/null
+++ b/lib/poison/count_test.go
@@ -0,0 +1,67 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpath.example/lib/wire"
+)
+
+func verdictOf(c *Count, now time.Time, fp Fingerprint) wire.Verdict {
+	for _, s := range c.Suspects(now) {
+		if Fingerprint(s.GetFingerprint()) == fp {
+			return s.GetVerdict()
+		}
+	}
+	return wire.Verdict_VERDICT_CLEAR
+}
+
+// Guards against a request that takes down one target after the other, and against
+// a block of one that several callers of the same target reported.
+func TestCountBlocksAfterThreeTargets(t *testing.T) {
+	var c Count
+	now, fp := time.Unix(1_800_000_000, 0), Fingerprint{1}
+	c.Lost(now, fp, Process{"t1", 1})
+	c.Lost(now, fp, Process{"t1", 1})
+	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_CLEAR)
+	c.Lost(now, fp, Process{"t2", 1})
+	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_SUSPECT)
+	c.Lost(now, fp, Process{"t1", 2})
+	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_BLOCKED)
+	assert.Equal(t, verdictOf(&c, now.Add(crashMemory+time.Second), fp), wire.Verdict_VERDICT_CLEAR)
+}
+
+// Guards against a block of ordinary requests: on targets that break off answers
+// without a crash, and on days on which targets crash again and again.
+func TestCountSparesOrdinaryRequests(t *testing.T) {
+	var c Count
+	now, fp := time.Unix(1_800_000_000, 0), Fingerprint{1}
+	for i := range 5 {
+		p := Process{fmt.Sprint("t", i), 1}
+		c.Lost(now, fp, p)
+		now = now.Add(2 * time.Second)
+		c.Alive(now, p)
+	}
+	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_CLEAR)
+	for i := range 5 {
+		c.Lost(now, fp, Process{fmt.Sprint("t", i), 1})
+		if i%2 == 1 {
+			c.Succeeded(fp)
+		}
+	}
+	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_CLEAR)
+}
+
+// Guards against memory that grows with the number of requests.
+func TestCountIsBounded(t *testing.T) {
+	var c Count
+	now := time.Unix(1_800_000_000, 0)
+	for i := range 3 * crashesKept {
+		now = now.Add(time.Millisecond)
+		c.Lost(now, Fingerprint{byte(i), byte(i >> 8)}, Process{"t", int64(i)})
+	}
+	assert.Equal(t, len(c.byPrint), crashesKept)
+}
