Retry failures of resumable streams; serve metrics where the deploy file says

Of plain routes that may run again such an answer was tried at another target, of streams it was passed on, although a stream that may be resumed may run again as well. Now both are, and the first target's answer is kept in case no other does better. Ruled out: routes that may run once (they stay), targets that should be avoided (all fail alike).

--- a/entry/gate/answer.go
+++ b/entry/gate/answer.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"bulrushpath.example/lib/relay"
-	"bulrushpath.example/lib/site"
 	"bulrushpath.example/lib/steer"
 )
 
@@ -38,7 +37,7 @@
 		return fmt.Errorf("answer exceeds %d bytes", maxAnswer)
 	}
 	started()
-	if answer.Status >= http.StatusInternalServerError && c.route.Kind == site.Safe && c.ran+1 < c.route.MaxAttempts {
+	if answer.Status >= http.StatusInternalServerError && c.route.Repeatable() && c.ran+1 < c.route.MaxAttempts {
 		c.kept = &keptAnswer{answer: answer, body: body}
 		return errServer
 	}
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -270,6 +270,8 @@
 		{"safe, failed", "plain", "/safe/1", sealed(http.StatusInternalServerError, "no"), http.StatusOK, 2},
 		{"stream, broken", "engines", "/stream/1", cut, http.StatusBadGateway, 1},
 		{"resumable stream, broken", "engines", "/resumed/1", cut, http.StatusOK, 2},
+		{"stream, failed", "engines", "/stream/1", sealed(http.StatusInternalServerError, "no"), http.StatusInternalServerError, 1},
+		{"resumable stream, failed", "engines", "/resumed/1", sealed(http.StatusInternalServerError, "no"), http.StatusOK, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var mu sync.Mutex
--- a/lib/daemon/settings.go
+++ b/lib/daemon/settings.go
@@ -69,12 +69,6 @@
 	Validate(out *check.List)
 }
 
-// Deriver is implemented by settings of which some follow from others.
-type Deriver interface {
-	// Derive sets them; it runs before Validate.
-	Derive()
-}
-
 // LoadSettings reads the INI file at path into s. All findings are reported
 // together in one *check.Error.
 func LoadSettings(path string, s Settings) error {
@@ -102,9 +96,6 @@
 			sec.Decode(path, dst, &findings)
 		}
 	}
-	if d, ok := s.(Deriver); ok {
-		d.Derive()
-	}
 	var invalid check.List
 	s.Validate(&invalid)
 	for _, f := range invalid.All() {
