Fill free memory with second copies in calm times

While little is asked for, permits of the store and memory of calm engines were left unused.

The planner loads second copies there, only with all permits left, only into free memory, and only at engines with little work, whose adapters would have to wait otherwise.

--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -35,6 +35,9 @@
 	busyCost = 0.3
 	// busyWork is the work per copy above which requests are taken to be under way.
 	busyWork = 0.03
+	// spareBelow is the work at an engine, in engine seconds per second, below which it
+	// may load a second copy of a model that does not need one yet.
+	spareBelow = 0.1
 	// soonWithin bounds the time for which an order waits for room elsewhere.
 	soonWithin = 1500 * time.Millisecond
 	// settle is how long a copy stays before it may make way.
@@ -168,7 +171,7 @@
 	list := needs(v)
 	for _, n := range list {
 		if n.copies+n.loading > 0 && n.perCopy(n.copies+n.loading) < growAt {
-			return nil
+			return p.spare(v, list)
 		}
 		if t := p.load(v, n); t != nil {
 			return t
@@ -180,6 +183,36 @@
 	return nil
 }
 
+// spare begins the load of a second copy, where memory is free and little is asked
+// for: demand that moves to a model finds two engines then, not one for the time of
+// a load. It leaves permits for models that need a copy.
+func (p *Planner) spare(v View, list []*need) *Target {
+	if p.permits < storeBurst {
+		return nil
+	}
+	calm := v
+	calm.Targets = nil
+	for _, t := range v.Targets {
+		work := 0.0
+		for name := range t.Copies {
+			if n := find(list, name); n != nil {
+				work += n.perCopy(max(n.copies, 1))
+			}
+		}
+		if work < spareBelow {
+			calm.Targets = append(calm.Targets, t)
+		}
+	}
+	for _, n := range list {
+		if n.copies == 1 && n.loading == 0 {
+			if t := p.load(calm, n); t != nil {
+				return t
+			}
+		}
+	}
+	return nil
+}
+
 // load begins a load of the model at the best target with room for it.
 func (p *Planner) load(v View, n *need) *Target {
 	var best *Target
--- a/lib/scale/scale_test.go
+++ b/lib/scale/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -328,3 +329,23 @@
 	assert.Assert(t, order != nil)
 	assert.Equal(t, order.For, "m00")
 }
+
+// Pattern: a calm time before demand moves to models that have one copy. Guards
+// against memory that stays free until the crest, and against orders for spare
+// copies where no memory is free or an engine is in use.
+func TestSpareCopiesFillFreeMemory(t *testing.T) {
+	w := newWorld(5, 7)
+	w.hold(0, "m00", "m01", "m02")
+	w.hold(1, "m03", "m04", "m05")
+	w.hold(2, "m00", "m01", "m06")
+	w.demand["m06"] = Demand{Work: 0.25}
+	w.run(20 * time.Second)
+	assert.Equal(t, w.copies("m06"), 2, "the model that is asked for goes first")
+	held := []int{len(w.engines[3].held), len(w.engines[4].held)}
+	slices.Sort(held)
+	assert.DeepEqual(t, held, []int{1, 3}) // One of them is in use by m06.
+	begun := len(w.begun)
+	assert.Equal(t, begun, 4)
+	w.run(10 * time.Second)
+	assert.Equal(t, len(w.begun), begun, "no memory is free")
+}
