--- /dev/null
+++ b/entry/gate/choose.go
@@ -0,0 +1,162 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"bulrushpath.example/lib/relay"
+	"bulrushpath.example/lib/steer"
+)
+
+const (
+	// placeWait is how long a request waits for the leader to begin loading a model
+	// that no target holds.
+	placeWait = 700 * time.Millisecond
+	// answerMargin is the time that must be left after a load for an answer.
+	answerMargin = 300 * time.Millisecond
+	// overloadFactor is how many times the expected wait must exceed the time left
+	// before a request is refused: the expectation errs on the long side under load.
+	overloadFactor = 2
+	// maxRetryAfter bounds what a refused client is told.
+	maxRetryAfter = 3 * time.Second
+)
+
+// choose waits for a target that can take the request and notes the request there.
+func (c *call) choose(ctx context.Context) (steer.Choice, *failure) {
+	g := c.g
+	waiting := false
+	begun := time.Now()
+	defer func() {
+		if waiting {
+			c.decision.waited += time.Since(begun)
+			g.mu.Lock()
+			g.demand.Wait(time.Now(), c.prompt.Model, -1)
+			g.mu.Unlock()
+		}
+	}()
+	for {
+		now := time.Now()
+		g.mu.Lock()
+		choice, until := c.pick(now)
+		changed := g.changed
+		if choice.Target == nil && !waiting && c.prompt.Model != "" {
+			waiting = true
+			g.demand.Wait(now, c.prompt.Model, 1)
+		}
+		g.mu.Unlock()
+		if choice.Target != nil {
+			return choice, c.overloaded(now, choice)
+		}
+		if f := c.hopeless(now, begun, until); f != nil {
+			return choice, f
+		}
+		g.hurry()
+		select {
+		case <-ctx.Done():
+			if c.r.Context().Err() != nil {
+				c.decision.outcome = "clientLeft"
+			}
+			return choice, c.tooLate()
+		case <-changed:
+		case <-time.After(reportPeriod):
+		}
+	}
+}
+
+// pick chooses a target and notes the request there; without one, until is when
+// a load of the model is expected to end. The caller holds mu.
+func (c *call) pick(now time.Time) (choice steer.Choice, until time.Time) {
+	targets := c.g.fleet.services[c.service.Name]
+	s := c.site()
+	choice = steer.Pick(now, s, &c.prompt, targets, func(t *steer.Target) bool { return c.tried[t.ID] })
+	if choice.Target == nil && len(c.tried) > 0 && steer.Resident(c.prompt.Model, targets) {
+		// All that hold the model were tried; they may have room by now.
+		clear(c.tried)
+		choice = steer.Pick(now, s, &c.prompt, targets, func(*steer.Target) bool { return false })
+	}
+	c.countDemand(now, choice)
+	if choice.Target == nil {
+		until, _ = steer.LoadingUntil(c.prompt.Model, targets)
+		return choice, until
+	}
+	t := choice.Target
+	c.decision.prompt = t.Own.PromptTokens + t.Others.PromptTokens
+	c.decision.running = t.Own.Running + t.Others.Running
+	for _, x := range t.Begin(now, &c.prompt, s, choice.MissTokens) {
+		c.g.noteCached(t.ID, x)
+	}
+	c.decision.target, c.decision.wait = choice.Target.ID, choice.Wait
+	c.decision.miss, c.decision.choices = choice.MissTokens, choice.Candidates
+	return choice, time.Time{}
+}
+
+// countDemand counts the request as demand for its model, once; also if no target
+// holds the model, which then needs more than one copy as soon as possible. The
+// caller holds mu.
+func (c *call) countDemand(now time.Time, choice steer.Choice) {
+	if c.counted || c.prompt.Model == "" {
+		return
+	}
+	c.counted = true
+	miss := choice.MissTokens
+	if choice.Target == nil {
+		miss = c.prompt.PromptTokens
+	}
+	c.g.demand.Add(now, &c.prompt, miss)
+}
+
+func (c *call) site() steer.Site {
+	s := steer.Site{Zone: c.g.zone, Idle: func(t *steer.Target) bool {
+		return c.g.conns.Idle(relay.Target{ID: t.ID, Addr: t.Addr})
+	}}
+	if c.service.Engine != nil {
+		s.KVTokens = c.service.Engine.KVTokens
+		s.CopyRate = c.service.Engine.CopyRate()
+	}
+	return s
+}
+
+// hopeless refuses a request that no target can take in time.
+func (c *call) hopeless(now, begun, until time.Time) *failure {
+	unknown := c.service.Engine != nil && c.service.Engine.Model(c.prompt.Model) == nil
+	switch {
+	case unknown:
+		return &failure{status: http.StatusServiceUnavailable, reason: "the model is not declared", retryAfter: time.Second}
+	case !c.g.warm.Load() && now.Add(answerMargin).Before(c.deadline):
+		// Control does not know all targets yet.
+		return nil
+	case until.IsZero() && now.Sub(begun) < placeWait && now.Add(answerMargin).Before(c.deadline):
+		return nil
+	case !until.IsZero() && until.Add(answerMargin).Before(c.deadline):
+		return nil
+	}
+	if c.ran > 0 || c.sent {
+		return &failure{status: http.StatusBadGateway, reason: "no other target"}
+	}
+	back := refusedPause
+	if wait := until.Sub(now); !until.IsZero() && wait > back {
+		back = wait
+	}
+	return &failure{status: http.StatusServiceUnavailable, reason: "no target holds the model", retryAfter: back}
+}
+
+// overloaded refuses a request that would surely not be answered in time, so that
+// its client can come back when there is room, and others are not held up.
+func (c *call) overloaded(now time.Time, choice steer.Choice) *failure {
+	if c.prompt.Model == "" || c.sent || c.ran > 0 || choice.Wait < overloadFactor*c.deadline.Sub(now) {
+		return nil
+	}
+	c.release(choice)
+	return &failure{
+		status: http.StatusServiceUnavailable, reason: "all targets of the model are overloaded",
+		retryAfter: min(max(choice.Wait/4, refusedPause), maxRetryAfter),
+	}
+}
+
+// release undoes Begin for a request that is not sent.
+func (c *call) release(choice steer.Choice) {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	choice.Target.End(&c.prompt, choice.MissTokens, false)
+}
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -44,7 +44,7 @@
 	arrived time.Time
 	// deadline is when the client or the route gives up.
 	deadline time.Time
-	// attempts counts the targets to which the request was sent.
+	// attempts counts the targets that may have run the request.
 	attempts int
 	// ran counts attempts after which the request may have run.
 	ran int
