Report every malformed line of a settings file, with its number

The parser names only the first fault of a file, without its line, and prints unreadable bytes as they are. Each malformed line is a finding now, with its place and its text quoted. The test of lib/config expects the line as well, which it did not before.

--- a/lib/config/config_test.go
+++ b/lib/config/config_test.go
@@ -56,7 +56,7 @@
 		want []string
 	}{
 		{"valid", valid, nil},
-		{"syntax", "[team", []string{"a.bulrush.ini: unclosed section", "weightStore: no file declares it"}},
+		{"syntax", "[team", []string{"a.bulrush.ini:1: unclosed section", "weightStore: no file declares it"}},
 		{"unknown section", valid + "[engine x]\n", []string{":19: engine x: unknown section"}},
 		{"unknown key", valid + "[team elm]\nlend = 3\n", []string{":20: team elm.lend: unknown key"}},
 		{"two findings in one section", valid + "[model z]\nversion = 1\nteam = ash\n", []string{
--- a/lib/inidoc/inidoc.go
+++ b/lib/inidoc/inidoc.go
@@ -58,7 +58,11 @@
 		SkipUnrecognizableLines: false,
 	}, data)
 	if err != nil {
-		return nil, &check.Error{Findings: []check.Finding{{File: path, Message: err.Error()}}}
+		findings := malformed(path, data)
+		if len(findings) == 0 {
+			findings = []check.Finding{{File: path, Message: err.Error()}}
+		}
+		return nil, &check.Error{Findings: findings}
 	}
 	headers, keyLines := scanLines(data)
 	doc := &Doc{Path: path}
@@ -87,6 +91,32 @@
 	return doc, nil
 }
 
+// malformed returns a finding for each line that is neither a section, a key with a
+// value, a comment nor empty. The parser names the first one only, without its line.
+func malformed(path string, data []byte) (out []check.Finding) {
+	sc := bufio.NewScanner(bytes.NewReader(data))
+	sc.Buffer(nil, len(data)+1)
+	for n := 1; sc.Scan(); n++ {
+		text := strings.TrimSpace(sc.Text())
+		message := ""
+		switch {
+		case text == "" || text[0] == '#' || text[0] == ';':
+		case text[0] == '[':
+			if !strings.Contains(text, "]") {
+				message = "unclosed section"
+			}
+		case strings.IndexAny(text, "=:") < 0:
+			message = "want key = value"
+		case strings.IndexAny(text, "=:") == 0:
+			message = "key is missing before the sign"
+		}
+		if message != "" {
+			out = append(out, check.Finding{File: path, Line: n, Message: fmt.Sprintf("%s: %q", message, text)})
+		}
+	}
+	return out
+}
+
 type lineKey struct {
 	header int
 	name   string
