Keep control's memory near its live heap; tell the table of targets in parts

The collector let the heap grow to five times its live size, which is right for a few MB, not for thousands of open connections of targets. And after a change of the leader each entry instance got the whole table at once, 3,000 records for each of 300 instances.

Ruled out: a look at the heap every 5 s, which misses the crest after a start. What remains is not traced.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -31,6 +31,11 @@
 	reportsPerSecond = 200
 	reportPeriodMin  = 200 * time.Millisecond
 	reportPeriodMax  = time.Second
+	// tableTold bounds the targets in one answer: after a change of the leader, all
+	// entry instances need the whole table at once. partPeriod is the time until the
+	// next part.
+	tableTold  = 512
+	partPeriod = 50 * time.Millisecond
 	// proposeTimeout bounds one replicated command of the operator.
 	proposeTimeout = 2 * time.Second
 )
@@ -325,11 +330,13 @@
 	e.heard, e.loads, e.demand = now, req.GetLoads(), req.GetDemand()
 	f.touchAdapters(now, req.GetLoads())
 	reply := &wire.FleetReply{Protocol: link.Protocol, Term: term, Warm: f.table.Warm(now)}
-	_, reply.TableVersion = f.table.Version()
-	reply.Targets, reply.Whole = f.table.Since(req.GetTerm(), req.GetTableVersion())
+	reply.Targets, reply.TableVersion, reply.Whole = f.table.Since(req.GetTerm(), req.GetTableVersion(), tableTold)
 	e.told = reply.GetTableVersion()
 	reply.Loads, reply.Entries = f.loads.others(req.GetLoads()), uint32(len(f.entries))
 	reply.ReportMillis = uint32(reportPeriod(len(f.entries)).Milliseconds())
+	if _, version := f.table.Version(); version > reply.GetTableVersion() {
+		reply.ReportMillis = uint32(partPeriod.Milliseconds())
+	}
 	f.svc.machineMu.RLock()
 	if doc := f.svc.machine.Document(); doc.GetVersion() > req.GetDocumentVersion() {
 		reply.Document = doc
--- a/lib/daemon/daemon.go
+++ b/lib/daemon/daemon.go
@@ -12,7 +12,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -30,14 +29,6 @@
 	exitSettings = 2
 )
 
-// gcPercent lets the heap of a few MB grow to five times its live size before a
-// collection, which would otherwise take much of the time under load.
-const gcPercent = 400
-
-// memoryShare is the part of Common.MemoryMB, in percent, that the Go runtime may
-// use; the rest is for the C library, the kernel's buffers and peaks.
-const memoryShare = 65
-
 // Process is what Main hands to a program.
 type Process struct {
 	Common Common
@@ -75,14 +66,11 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
-	if common.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(common.MemoryMB) << 20 * memoryShare / 100)
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	memoryCtx, stopMemory := context.WithCancel(context.Background())
+	defer stopMemory()
+	go limitMemory(memoryCtx, common.MemoryMB)
 	p, closeProcess, err := start(program, *common)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -196,19 +197,29 @@
 }
 
 // Since returns the records that changed after version of term, or the whole
-// table if the caller holds another term's.
-func (t *Table) Since(term, version uint64) (records []*wire.FleetTarget, whole bool) {
+// table if the caller holds another term's: the first limit of them in the order of
+// their changes, and the version up to which they are complete.
+func (t *Table) Since(term, version uint64, limit int) (records []*wire.FleetTarget, upTo uint64, whole bool) {
 	whole = term != t.term || version > t.version
 	if whole {
 		version = 0
 	}
+	var changed []*target
 	for _, x := range t.targets {
 		if x.serial > version && (!whole || !x.removed) {
-			records = append(records, t.record(x))
+			changed = append(changed, x)
 		}
 	}
-	slices.SortFunc(records, func(a, b *wire.FleetTarget) int { return strings.Compare(a.GetId(), b.GetId()) })
-	return records, whole
+	slices.SortFunc(changed, func(a, b *target) int { return cmp.Compare(a.serial, b.serial) })
+	upTo = t.version
+	if len(changed) > limit {
+		changed = changed[:limit]
+		upTo = changed[limit-1].serial
+	}
+	for _, x := range changed {
+		records = append(records, t.record(x))
+	}
+	return records, upTo, whole
 }
 
 func (t *Table) record(x *target) *wire.FleetTarget {
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"bulrushpath.example/lib/wire"
 )
@@ -112,20 +114,73 @@
 func TestSince(t *testing.T) {
 	x := newTable()
 	x.Announce(start, announcement("a", "10.0.0.1:80", 100, 1))
-	records, whole := x.Since(0, 0)
+	records, _, whole := x.Since(0, 0, 9)
 	assert.Assert(t, whole)
 	assert.Equal(t, len(records), 1)
 	term, version := x.Version()
 	x.Announce(start, announcement("b", "10.0.0.2:80", 100, 1))
 	x.Leave(start, "a")
-	records, whole = x.Since(term, version)
+	records, _, whole = x.Since(term, version, 9)
 	assert.Assert(t, !whole)
 	assert.Equal(t, len(records), 2)
-	assert.Assert(t, records[0].GetRemoved())
-	assert.Equal(t, records[1].GetId(), "b")
+	assert.Equal(t, records[0].GetId(), "b")
+	assert.Equal(t, records[1].GetId(), "a")
+	assert.Assert(t, records[1].GetRemoved())
 	_, version = x.Version()
-	records, _ = x.Since(term, version)
+	records, _, _ = x.Since(term, version, 9)
 	assert.Equal(t, len(records), 0)
-	_, whole = x.Since(term-1, version)
+	_, _, whole = x.Since(term-1, version, 9)
 	assert.Assert(t, whole)
 }
+
+// Guards against a table that is told in parts and lacks a target that changed
+// between two of them, and against parts above the limit.
+func TestSinceInParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := newTable()
+		name := func() string { return fmt.Sprint("t", rapid.IntRange(0, 12).Draw(t, "target")) }
+		change := func(n int) {
+			for range n {
+				id := name()
+				if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+					x.Leave(start, id)
+				} else {
+					x.Announce(start, announcement(id, "10.0.0.1:80", 100, uint64(rapid.IntRange(1, 9).Draw(t, "sequence"))))
+				}
+			}
+		}
+		change(20)
+		held := map[string]bool{}
+		var term, version uint64
+		for range 40 {
+			records, upTo, _ := x.Since(term, version, 3)
+			term, _ = x.Version()
+			assert.Assert(t, len(records) <= 3)
+			version = upTo
+			for _, r := range records {
+				held[r.GetId()] = !r.GetRemoved()
+			}
+			if rapid.Bool().Draw(t, "change") {
+				change(1)
+			}
+			if _, newest := x.Version(); newest == version && len(records) == 0 {
+				break
+			}
+		}
+		for range 10 {
+			records, upTo, _ := x.Since(term, version, 3)
+			version = upTo
+			for _, r := range records {
+				held[r.GetId()] = !r.GetRemoved()
+			}
+		}
+		want, _, _ := x.Since(0, 0, 100)
+		for _, r := range want {
+			assert.Assert(t, held[r.GetId()], "%s is missing", r.GetId())
+			delete(held, r.GetId())
+		}
+		for id, there := range held {
+			assert.Assert(t, !there, "%s is gone", id)
+		}
+	})
+}
