Plan without targets that are probably gone, and during a change of the leader

The leader changed at 4.2, and a new leader gave no order for 2.5 s.

The planner leaves out targets that missed 2.5 announcements, or one and a quarter after they broke off requests as a process that ends does (the entry instances report that), unless most are silent. A new leader relieves crowded models after 1 s, into free memory only; all other orders wait until its table is warm, as before.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 	// next part.
 	tableTold  = 512
 	partPeriod = 50 * time.Millisecond
+	// earlyPlan is how long a new leader gives no orders at all; until its table is
+	// warm, it gives only those that are needed whatever it has not heard yet.
+	earlyPlan = time.Second
 	// proposeTimeout bounds one replicated command of the operator.
 	proposeTimeout = 2 * time.Second
 )
@@ -55,8 +59,10 @@
 	// orderPause is how long a new leader gives no order, so that the orders of the
 	// leader before it have ended.
 	orderPause time.Duration
-	holder     string
-	count      fleetMetrics
+	// announcePeriod is the time between two announcements of a target.
+	announcePeriod time.Duration
+	holder         string
+	count          fleetMetrics
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -76,6 +82,8 @@
 	prompts promptLog
 	// lost counts the targets that were lost with the same request.
 	lost poison.Count
+	// doubtful are the targets that the planners left out last.
+	doubtful map[string]bool
 	// index is the decoded document of indexVersion.
 	index        *site.Index
 	indexVersion uint64
@@ -101,7 +109,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	f := &Fleet{
 		svc: svc, log: logger, decode: o.decode, engines: o.engines, orderPause: o.orderPause,
-		holder: holder, ctx: ctx, stop: stop,
+		announcePeriod: o.announcePeriod, holder: holder, ctx: ctx, stop: stop,
 		count: fleetMetrics{
 			reports: scope.Counter("reports"), announcements: scope.Counter("announcements"),
 			orders: scope.Counter("orders"), orderFailures: scope.Counter("orderFailures"),
@@ -127,7 +135,7 @@
 	f.planners = make(map[string]*scale.Planner)
 	f.entries = make(map[string]*entryState)
 	f.prompts = promptLog{}
-	f.lost = poison.Count{}
+	f.lost, f.doubtful = poison.Count{}, nil
 	f.loads = loadTotals{sums: make(map[string]*wire.TargetLoad)}
 	f.table = fleet.New(now, term, f.records)
 }
@@ -360,6 +368,7 @@
 		if len(l.GetFingerprint()) != poison.Size {
 			continue
 		}
+		f.table.Broke(now, l.GetTarget())
 		f.lost.Lost(now, poison.Fingerprint(l.GetFingerprint()), poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
 		f.log.Warn().Str("event", "requestLost").Str("entry", req.GetName()).Str("target", l.GetTarget()).
 			Hex("fingerprint", l.GetFingerprint()).Msg("")
@@ -409,11 +418,23 @@
 	f.count.entries.Update(float64(len(f.entries)))
 	live := f.table.Live()
 	f.count.targets.Update(float64(len(live)))
-	if f.table.Warm(now) && now.Sub(f.since) >= f.orderPause {
-		f.plan(now, live)
+	if now.Sub(f.since) >= max(f.orderPause, earlyPlan) {
+		f.plan(now, f.sure(now, live), !f.table.Warm(now))
 	}
 }
 
+// sure leaves out the targets that are probably gone; the caller holds mu.
+func (f *Fleet) sure(now time.Time, live []fleet.Announcement) []fleet.Announcement {
+	doubtful := f.table.Doubtful(now, f.announcePeriod)
+	for id := range doubtful {
+		if !f.doubtful[id] {
+			f.log.Warn().Str("event", "targetDoubtful").Str("target", id).Uint64("term", f.term).Msg("")
+		}
+	}
+	f.doubtful = doubtful
+	return slices.DeleteFunc(live, func(a fleet.Announcement) bool { return doubtful[a.ID] })
+}
+
 // demand sums the demand for each model over the entry instances.
 func (f *Fleet) demand(now time.Time) map[string]scale.Demand {
 	out := make(map[string]scale.Demand)
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -147,7 +147,7 @@
 	svc := newService("c1", p)
 	svc.group = single(svc)
 	f := newFleet(svc, p.Log, p.Scope, "c1", &options{
-		decode: decodeFake, engines: Engines{Send: e.send, Report: e.report},
+		decode: decodeFake, engines: Engines{Send: e.send, Report: e.report}, announcePeriod: defaultAnnouncePeriod,
 	})
 	t.Cleanup(func() { assert.NilError(t, f.Close()) })
 	_, err := f.Post(t.Context(), 3, []byte("x"))
--- a/control/option.go
+++ b/control/option.go
@@ -16,8 +16,13 @@
 	engines    Engines
 	front      func(f *Fleet) (io.Closer, error)
 	orderPause time.Duration
+	// announcePeriod is the time between two announcements of a target.
+	announcePeriod time.Duration
 }
 
+// defaultAnnouncePeriod applies if the deployment names no period.
+const defaultAnnouncePeriod = 1200 * time.Millisecond
+
 // Option changes what Run serves.
 type Option func(*options)
 
@@ -35,3 +40,7 @@
 // WithOrderPause sets how long a new leader gives no orders to engines, so that
 // two leaders never take turns within that time.
 func WithOrderPause(d time.Duration) Option { return func(o *options) { o.orderPause = d } }
+
+// WithAnnouncePeriod sets the time between two announcements of a target, by which
+// the leader judges silent ones.
+func WithAnnouncePeriod(d time.Duration) Option { return func(o *options) { o.announcePeriod = d } }
--- a/control/order.go
+++ b/control/order.go
@@ -141,8 +141,9 @@
 	}
 }
 
-// plan runs the planner of each service with engines; the caller holds mu.
-func (f *Fleet) plan(now time.Time, live []fleet.Announcement) {
+// plan runs the planner of each service with engines; partial says that more
+// engines may be live. The caller holds mu.
+func (f *Fleet) plan(now time.Time, live []fleet.Announcement, partial bool) {
 	index := f.current()
 	if index == nil {
 		return
@@ -153,7 +154,7 @@
 		if s.Engine == nil {
 			continue
 		}
-		v := scale.View{Now: now, Engine: s.Engine, Demand: demand}
+		v := scale.View{Now: now, Engine: s.Engine, Demand: demand, Partial: partial}
 		for _, a := range live {
 			if st := f.stations[a.ID]; st != nil && a.Service == s.Name {
 				v.Targets = append(v.Targets, &st.Target)
--- a/control/run.go
+++ b/control/run.go
@@ -18,7 +18,7 @@
 
 // Run serves until ctx ends, then hands the leadership over and stops.
 func Run(ctx context.Context, p *daemon.Process, c Control, opts ...Option) error {
-	var o options
+	o := options{announcePeriod: defaultAnnouncePeriod}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -22,6 +22,10 @@
 	// tombstone is how long a removed incarnation is remembered, so that a late
 	// announcement does not bring it back.
 	tombstone = 5 * time.Minute
+	// silentPeriods is the number of announcement periods without a word after which a
+	// target is doubtful, brokenPeriods that for one which broke off requests.
+	silentPeriods = 2.5
+	brokenPeriods = 1.25
 	// warmAfter is how long a new leader collects announcements before it knows
 	// which targets exist.
 	warmAfter = 2500 * time.Millisecond
@@ -69,6 +73,8 @@
 type target struct {
 	Announcement
 	heard time.Time
+	// broke is when an entry instance last saw it break off a request.
+	broke time.Time
 	// serial is the table version of the last change of the record.
 	serial uint64
 	// cached is the record as of serial cachedAt; nil if it changes with time.
@@ -164,6 +170,39 @@
 	return known
 }
 
+// Broke notes that a target broke off a request as a process that ends does.
+func (t *Table) Broke(now time.Time, id string) {
+	if x := t.targets[id]; x != nil {
+		x.broke = now
+	}
+}
+
+// Doubtful returns the targets that are probably gone, though their lease has not
+// run out: they have missed announcements, which come once in each period. It returns
+// none if that holds for most targets, since the leader itself may be cut off then,
+// and none while the table is not warm.
+func (t *Table) Doubtful(now time.Time, period time.Duration) map[string]bool {
+	if !t.Warm(now) {
+		return nil
+	}
+	out := make(map[string]bool)
+	live := 0
+	for id, x := range t.targets {
+		if x.removed {
+			continue
+		}
+		live++
+		silent := float64(now.Sub(x.heard)) / float64(period)
+		if silent > silentPeriods || silent > brokenPeriods && x.broke.After(x.heard) {
+			out[id] = true
+		}
+	}
+	if 2*len(out) > live {
+		return nil
+	}
+	return out
+}
+
 // Touch marks the record of a target as changed, after its models have changed.
 func (t *Table) Touch(id string) {
 	if old := t.targets[id]; old != nil {
--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -66,6 +66,9 @@
 	// Targets are the live engines of the service.
 	Targets []*Target
 	Demand  map[string]Demand
+	// Partial says that more engines may be live than Targets names. Then only
+	// crowded models get copies, into free memory: nothing else is known to be needed.
+	Partial bool
 }
 
 // Planner decides on model orders for one service. It keeps the permits of the
@@ -169,6 +172,9 @@
 // next finds the most urgent order that is possible now and begins it.
 func (p *Planner) next(v View) *Target {
 	list := needs(v)
+	if v.Partial {
+		return p.relieve(v, list)
+	}
 	for _, n := range list {
 		if n.copies+n.loading > 0 && n.perCopy(n.copies+n.loading) < growAt {
 			return p.spare(v, list)
@@ -183,6 +189,19 @@
 	return nil
 }
 
+// relieve begins the load of a copy of a crowded model where memory is free.
+func (p *Planner) relieve(v View, list []*need) *Target {
+	for _, n := range list {
+		if n.copies == 0 || n.perCopy(n.copies+n.loading) <= crowded {
+			continue
+		}
+		if t := p.load(v, n); t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
 // spare begins the load of a second copy, where memory is free and little is asked
 // for: demand that moves to a model finds two engines then, not one for the time of
 // a load. It leaves permits for models that need a copy.
--- a/lib/scale/scale_test.go
+++ b/lib/scale/scale_test.go
@@ -44,6 +44,7 @@
 	planner *Planner
 	engines []*fakeEngine
 	demand  map[string]Demand
+	partial bool
 	// begun holds the times of loads from the weight store.
 	begun []time.Time
 }
@@ -83,7 +84,7 @@
 // step plans, and carries out what is due.
 func (w *world) step() {
 	w.now = w.now.Add(tick)
-	v := View{Now: w.now, Engine: w.engine, Demand: w.demand}
+	v := View{Now: w.now, Engine: w.engine, Demand: w.demand, Partial: w.partial}
 	for _, e := range w.engines {
 		v.Targets = append(v.Targets, e.target)
 	}
@@ -349,3 +350,19 @@
 	w.run(10 * time.Second)
 	assert.Equal(t, len(w.begun), begun, "no memory is free")
 }
+
+// Pattern: a crest while the leader changes. Guards against seconds without a copy
+// for the crowded model, and against orders that follow from engines which have not
+// announced themselves yet: loads of models that they may hold, and room made.
+func TestCrestWhileTheLeaderIsNew(t *testing.T) {
+	w := newWorld(3, 6)
+	w.hold(0, "m00", "m01", "m02")
+	w.hold(1, "m03", "m01", "m02")
+	w.partial = true
+	w.demand["m00"] = Demand{Work: 1.6}
+	w.demand["m04"] = Demand{Work: 0.2, Waiting: 1}
+	w.run(6 * time.Second)
+	assert.Equal(t, w.copies("m00"), 2)
+	assert.Equal(t, len(w.begun), 1)
+	assert.Equal(t, len(w.engines[0].held)+len(w.engines[1].held), 6)
+}
