Serve the crest before rare models while the store is the bottleneck

The store allows 1.1 loads a second of 6 s each. A model without a copy for which a request waits went before all others, so that the permits went to one rare model after the other, and the model of most requests had one copy, with 116 requests in 2 s that found none. It goes after models whose copies are overloaded now. Test: TestEmptyEnginesServeTheCrestFirst.

--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -15,9 +15,9 @@
 	// richer is how many times the work per copy of a growing model must exceed
 	// what the victim's remaining copies would carry.
 	richer = 2.0
-	// unreachable ranks a model for which a request waits and that has no copy before
-	// all others.
-	unreachable = 1000.0
+	// askedNeed ranks a model for which a request waits and that has no copy: after
+	// models whose copies cannot serve what is asked of them, before all others.
+	askedNeed = 1.0
 	// idleNeed ranks a model without a copy that nobody asks for: it comes back into
 	// free memory, or in place of a copy that is hardly used, but not in place of
 	// one that a crest of demand needs.
@@ -117,7 +117,7 @@
 	case copies > 0:
 		return n.demand.Work / float64(copies)
 	case n.demand.Waiting > 0:
-		return unreachable
+		return askedNeed + 2*n.demand.Work
 	}
 	return idleNeed + 2*n.demand.Work
 }
--- a/lib/scale/scale_test.go
+++ b/lib/scale/scale_test.go
@@ -366,3 +366,33 @@
 	assert.Equal(t, len(w.begun), 1)
 	assert.Equal(t, len(w.engines[0].held)+len(w.engines[1].held), 6)
 }
+
+// Pattern: all engines are replaced by empty ones, so that the weight store bounds
+// how fast models come back. Guards against loads that go to one rare model after
+// the other while the model of most requests has one copy, and against rare models
+// that stay without one.
+func TestEmptyEnginesServeTheCrestFirst(t *testing.T) {
+	w := newWorld(6, 12)
+	ask := func() {
+		w.demand["m00"] = Demand{Work: 3}
+		for i := 1; i < 12; i++ {
+			name := fmt.Sprintf("m%02d", i)
+			w.demand[name] = Demand{Work: 0.1}
+			if w.copies(name) == 0 {
+				w.demand[name] = Demand{Work: 0.1, Waiting: 1}
+			}
+		}
+	}
+	for range int(10 * time.Second / tick) {
+		ask()
+		w.step()
+	}
+	assert.Assert(t, w.copies("m00") >= 3, "%d copies", w.copies("m00"))
+	for range int(20 * time.Second / tick) {
+		ask()
+		w.step()
+	}
+	for _, m := range w.engine.Models {
+		assert.Assert(t, w.copies(m.Name) > 0, "%s has no copy", m.Name)
+	}
+}
