Read an engine's announcement under the lock of the fleet

A new test calls Report, Fetch, Announce and the planner at the same time; the race detector reports that orders read the announcement of an engine while a newer one replaces it, in the handler of Fetch as well. That reading is under the lock now; the test fails without the change and reports no other race.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"bulrushpath.example/lib/fleet"
@@ -496,3 +497,48 @@
 	_, last = l.since("e1", 1<<60)
 	assert.Equal(t, last, l.sequence)
 }
+
+// Guards against data that calls and the planner change at the same time, which
+// ends the process.
+func TestConcurrentCallsAndTicks(t *testing.T) {
+	e := newFakeEngine()
+	f := startFleet(t, e)
+	announce(t, f, e, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+	defer cancel()
+	var wg sync.WaitGroup
+	loop := func(do func(n uint64)) {
+		wg.Go(func() {
+			for n := uint64(2); ctx.Err() == nil; n++ {
+				do(n)
+			}
+		})
+	}
+	marshal := func(m proto.Message, err error) {
+		if err == nil {
+			_, err = proto.Marshal(m)
+		}
+		if err != nil && ctx.Err() == nil {
+			t.Error(err)
+		}
+	}
+	for i := range 3 {
+		loop(func(n uint64) {
+			reply, err := f.Report(ctx, &wire.FleetRequest{
+				Protocol: link.Protocol, Name: fmt.Sprint("e", i), DocumentVersion: 3, Term: 1, TableVersion: n % 7,
+				Loads:  []*wire.TargetLoad{{Target: "t1", Running: uint32(n % 5), MemoryTokens: n % 3, Adapters: []string{"m0/a1"}}},
+				Demand: []*wire.ModelDemand{{Model: fmt.Sprint("m", n%3), WorkMicrosPerSecond: 1e6, Waiting: 1}},
+				Cached: []*wire.CachedPrompt{{Target: "t1", Key: n, Tokens: 9}},
+				Lost:   []*wire.LostRequest{{Fingerprint: make([]byte, poison.Size), Target: fmt.Sprint("t", n%4), BornMillis: 1}},
+			})
+			marshal(reply, err)
+		})
+		loop(func(n uint64) {
+			reply, err := f.Fetch(ctx, &wire.FetchRequest{Protocol: link.Protocol, Target: "t1", Model: "m0", Adapter: fmt.Sprint("a", n%4)})
+			marshal(reply, err)
+		})
+	}
+	loop(func(n uint64) { announce(t, f, e, n) })
+	loop(func(uint64) { f.tick(time.Now()) })
+	wg.Wait()
+}
--- a/control/order.go
+++ b/control/order.go
@@ -88,6 +88,7 @@
 // station is one engine as the leader's orders see it.
 type station struct {
 	scale.Target
+	// at is the last announcement; it is guarded by Fleet.mu, as Target is.
 	at fleet.Announcement
 	// sending serializes the orders to this engine.
 	sending sync.Mutex
@@ -247,7 +248,7 @@
 		f.markSent(st, o)
 		ctx, cancel := context.WithTimeout(f.ctx, sendTimeout)
 		f.count.orders.Inc(1)
-		result, err = f.engines.Send(ctx, st.at, EngineOrder{Order: o, Count: st.count, Holder: f.holder, Token: term})
+		result, err = f.engines.Send(ctx, f.where(st), EngineOrder{Order: o, Count: st.count, Holder: f.holder, Token: term})
 		cancel()
 		switch result {
 		case Accepted:
@@ -294,7 +295,7 @@
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, sendTimeout)
 	defer cancel()
-	e, err := f.engines.Report(ctx, st.at)
+	e, err := f.engines.Report(ctx, f.where(st))
 	if err != nil {
 		return false, fmt.Errorf("report: %w", err)
 	}
@@ -315,6 +316,13 @@
 	return open && st.Order == nil, nil
 }
 
+// where returns the engine's last announcement, which names its address.
+func (f *Fleet) where(st *station) fleet.Announcement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return st.at
+}
+
 // fits checks the engine's limits against all that may be resident there.
 func (f *Fleet) fits(st *station) bool {
 	f.mu.Lock()
@@ -347,7 +355,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(f.ctx, sendTimeout)
-		e, err := f.engines.Report(ctx, st.at)
+		e, err := f.engines.Report(ctx, f.where(st))
 		cancel()
 		if err == nil {
 			f.settle(st, o, e)
