Keep what a send needs of its target as of the choice

The test that calls requests, reports and the removal of connections at the same time (race detector) showed that a send reads address, start and counts of a target while a report replaces them: a torn address can end the process or reach another target. The choice copies them under the lock now. attemptFailed names one count of running requests, as the line of the request does.

--- a/entry/gate/choose.go
+++ b/entry/gate/choose.go
@@ -81,6 +81,10 @@
 		return choice, until
 	}
 	t := choice.Target
+	c.to = place{Target: relay.Target{ID: t.ID, Addr: t.Addr}, born: t.Born}
+	if choice.Source != nil {
+		c.to.copyFrom = choice.Source.Addr
+	}
 	c.decision.prompt = t.Own.PromptTokens + t.Others.PromptTokens
 	c.decision.running = t.Own.Running + t.Others.Running
 	for _, x := range t.Begin(now, &c.prompt, s, choice.MissTokens) {
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -89,7 +89,7 @@
 		case broken:
 			c.ran++
 			c.tried[choice.Target.ID] = true
-			c.lostWith(choice.Target, err)
+			c.lostWith(err)
 			if _, suspect := c.verdict(); suspect {
 				return &failure{status: http.StatusBadGateway, reason: "targets are lost with this request: " + err.Error()}
 			}
@@ -146,9 +146,9 @@
 		}
 	}
 	c.noteAdapter(t)
-	c.stamp(choice)
+	c.stamp()
 	sentAt := time.Now()
-	answer, err := c.g.conns.Do(ctx, relay.Target{ID: t.ID, Addr: t.Addr}, c.connLimit(), c.out)
+	answer, err := c.g.conns.Do(ctx, c.to.Target, c.connLimit(), c.out)
 	if err != nil {
 		var failed *relay.Error
 		if errors.As(err, &failed) && !failed.Sent {
@@ -241,13 +241,13 @@
 }
 
 // stamp sets the headers that the system adds for one send.
-func (c *call) stamp(choice steer.Choice) {
+func (c *call) stamp() {
 	left := max(time.Until(c.deadline), time.Millisecond)
 	c.out.Header.Set(c.g.headers.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
-	c.out.Header.Set(c.g.headers.Target, choice.Target.ID)
+	c.out.Header.Set(c.g.headers.Target, c.to.ID)
 	c.out.Header.Del(c.g.headers.CopyFrom)
-	if choice.Source != nil {
-		c.out.Header.Set(c.g.headers.CopyFrom, choice.Source.Addr.String())
+	if c.to.copyFrom.IsValid() {
+		c.out.Header.Set(c.g.headers.CopyFrom, c.to.copyFrom.String())
 	}
 	if c.prompt.Model != "" {
 		c.out.Header.Set(c.g.headers.Priority, strconv.Itoa(c.route.Urgency()))
@@ -273,5 +273,5 @@
 	c.g.met.attempt(res)
 	c.g.log.Info().Str("event", "attemptFailed").Str("id", c.id).Str("target", choice.Target.ID).
 		Str("outcome", res.String()).Int("sends", c.attempts).Dur("expected", choice.Wait).
-		Int("running", choice.Target.Own.Running).Int("others", choice.Target.Others.Running).Err(err).Msg("")
+		Int("running", c.decision.running).Err(err).Msg("")
 }
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -637,3 +637,31 @@
 	assert.Equal(t, reached(), before)
 	assert.Equal(t, send("/once/other"), http.StatusOK)
 }
+
+// Guards against data that requests, reports and the removal of connections change
+// at the same time, which ends the process.
+func TestConcurrentRequestsAndReports(t *testing.T) {
+	stream := func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 5) }
+	b := newBed(t, "engines", stream, stream, cut)
+	end := time.Now().Add(500 * time.Millisecond)
+	var wg sync.WaitGroup
+	loop := func(do func(n int)) {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				do(n)
+			}
+		})
+	}
+	for i := range 4 {
+		loop(func(n int) {
+			_, _, err := b.ask(t.Context(), http.MethodPost, "/resumed/1", "x", func(r *http.Request) {
+				r.Header.Set("T-Id", fmt.Sprint("r", i, "-", n))
+				r.Header.Set("T-Model", "m")
+			})
+			assert.Check(t, err)
+		})
+	}
+	loop(func(int) { assert.Check(t, b.gate.report(t.Context())) })
+	loop(func(int) { b.gate.retain() })
+	wg.Wait()
+}
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -48,6 +49,9 @@
 	attempts int
 	// ran counts attempts after which the request may have run.
 	ran int
+	// to is where the request goes now, as of the choice: the record of a target may
+	// change at any time.
+	to place
 	// tried holds the targets not to be chosen again.
 	tried map[string]bool
 	// kept is the failure of a target that waits for a better answer.
@@ -63,6 +67,14 @@
 	decision decision
 }
 
+// place is the process of a target to which a request goes.
+type place struct {
+	relay.Target
+	born time.Time
+	// copyFrom is the target from which it copies the cached prompt; invalid if none.
+	copyFrom netip.AddrPort
+}
+
 // decision is what the log line of a request tells.
 type decision struct {
 	target  string
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"bulrushpath.example/lib/poison"
-	"bulrushpath.example/lib/steer"
 	"bulrushpath.example/lib/wire"
 )
 
@@ -92,7 +91,7 @@
 }
 
 // lostWith notes that the target broke off as a process that ends does.
-func (c *call) lostWith(t *steer.Target, err error) {
+func (c *call) lostWith(err error) {
 	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 	if !ended {
@@ -103,7 +102,7 @@
 	defer c.g.mu.Unlock()
 	if len(c.g.suspects.lost) < maxLost {
 		c.g.suspects.lost = append(c.g.suspects.lost, &wire.LostRequest{
-			Fingerprint: fp[:], Target: t.ID, BornMillis: t.Born.UnixMilli(),
+			Fingerprint: fp[:], Target: c.to.ID, BornMillis: c.to.born.UnixMilli(),
 		})
 	}
 }
