--- a/lib/inidoc/inidoc.go
+++ b/lib/inidoc/inidoc.go
@@ -105,7 +105,7 @@
 			if !strings.Contains(text, "]") {
 				message = "unclosed section"
 			}
-		case strings.IndexAny(text, "=:") < 0:
+		case !strings.ContainsAny(text, "=:"):
 			message = "want key = value"
 		case strings.IndexAny(text, "=:") == 0:
 			message = "key is missing before the sign"
