--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,10 +1,19 @@
 #!/bin/sh
-# Formatter, linter and generated code: fails if any of them would change or report something.
+# Formatter, linter and generated code: fails if any of them would change or report something,
+# and if a compiled program is tracked.
 set -eu
 cd "$(dirname "$0")/.."
 . scripts/modules.sh
 PATH="$PWD/.tools:$PATH"
 export PATH
+programs=$(git ls-files -s | awk '$1 == 100755 { print $4 }' | while read -r f; do
+	[ ! -e "$f" ] || [ "$(head -c 2 "$f")" = '#!' ] || echo "$f"
+done)
+if [ -n "$programs" ]; then
+	echo "compiled programs are tracked:"
+	echo "$programs"
+	exit 1
+fi
 bad=$(gofumpt -l $(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$' | grep -v -e '_drpc' -e '_string\.go$' | while read -r f; do [ -e "$f" ] && echo "$f"; done))
 if [ -n "$bad" ]; then
 	echo "not formatted by gofumpt:"
