--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -7,7 +7,7 @@
 PATH="$PWD/.tools:$PATH"
 export PATH
 programs=$(git ls-files -s | awk '$1 == 100755 { print $4 }' | while read -r f; do
-	[ ! -e "$f" ] || [ "$(head -c 2 "$f")" = '#!' ] || echo "$f"
+	if [ -e "$f" ] && [ "$(head -c 4 "$f" | tail -c 3)" = ELF ]; then echo "$f"; fi
 done)
 if [ -n "$programs" ]; then
 	echo "compiled programs are tracked:"
