Log membership, unmet tolerance, missing majorities and the age of a 404's configuration

A control instance that cannot elect wrote nothing, so too few disks could not be told from an election that never ends; a 404 did not say from which configuration and how long after the last contact. No decision is changed.

--- a/control/group.go
+++ b/control/group.go
@@ -26,12 +26,15 @@
 }
 
 // openGroup starts the consensus node of this instance.
-func (c *Control) openGroup(s *service, pool *link.Pool, logger *log.Logger) (*group, error) {
+func (c *Control) openGroup(s *service, zone string, pool *link.Pool, logger *log.Logger) (*group, error) {
 	node, err := quorum.Open(quorum.Settings{
 		ID:              c.ID,
 		Listen:          c.Listen,
 		Peers:           c.peers(),
 		Voters:          c.Voters,
+		Tolerance:       c.tolerance(),
+		Zone:            zone,
+		Region:          c.Region,
 		Join:            c.Join,
 		DataDir:         c.DataDir,
 		ElectionTimeout: c.ElectionTimeout,
--- a/control/run.go
+++ b/control/run.go
@@ -27,7 +27,7 @@
 	defer func() { _ = pool.Close() }()
 	svc := newService(c.ID, p)
 	var err error
-	if svc.group, err = c.openGroup(svc, pool, p.Log); err != nil {
+	if svc.group, err = c.openGroup(svc, p.Common.Zone, pool, p.Log); err != nil {
 		return err
 	}
 	tasks := svc.tasks(c)
--- a/control/settings.go
+++ b/control/settings.go
@@ -8,6 +8,7 @@
 
 	"bulrushpath.example/lib/check"
 	"bulrushpath.example/lib/daemon"
+	"bulrushpath.example/lib/quorum"
 )
 
 // Settings is the settings file of a control instance.
@@ -29,6 +30,14 @@
 	Join bool `ini:"join"`
 	// Voters is the intended number of voters in the group, by default all Peers.
 	Voters int `ini:"voters"`
+	// TolerateInstances, TolerateZones and TolerateRegions state how many control
+	// instances, availability zones or regions may be lost at the same time, with their
+	// disks. The leader logs whether the group bears that.
+	TolerateInstances int `ini:"tolerateInstances"`
+	TolerateZones     int `ini:"tolerateZones"`
+	TolerateRegions   int `ini:"tolerateRegions"`
+	// Region is the region of this instance; the zone is that of the section [process].
+	Region string `ini:"region"`
 	// DataDir is the directory of the log and the snapshots. It must contain nothing
 	// else.
 	DataDir string `ini:"dataDir"`
@@ -115,6 +124,13 @@
 		out.Addf("control.electionTimeout", "%s is below 3 heartbeats; one lost message would depose the leader",
 			c.ElectionTimeout)
 	}
+	for key, n := range map[string]int{
+		"tolerateInstances": c.TolerateInstances, "tolerateZones": c.TolerateZones, "tolerateRegions": c.TolerateRegions,
+	} {
+		if n < 0 {
+			out.Addf("control."+key, "%d is negative", n)
+		}
+	}
 	if c.SnapshotEntries < 1 {
 		out.Addf("control.snapshotEntries", "%d is not above zero", c.SnapshotEntries)
 	}
@@ -146,6 +162,11 @@
 	}
 }
 
+// tolerance returns the losses that the group must bear.
+func (c *Control) tolerance() quorum.Tolerance {
+	return quorum.Tolerance{Members: c.TolerateInstances, Zones: c.TolerateZones, Regions: c.TolerateRegions}
+}
+
 func (c *Control) peers() map[string]netip.AddrPort {
 	m := make(map[string]netip.AddrPort, len(c.Peers))
 	for _, p := range c.Peers {
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -319,8 +319,13 @@
 		e = c.gateway.log.Warn()
 	}
 	e = e.Str("event", "request").Str("id", c.id).Str("outcome", d.outcome).Int("status", d.status)
+	if c.index != nil {
+		e = e.Uint64("config", c.index.Config.Version)
+	}
 	if c.route != nil {
-		e = e.Str("route", c.route.Name).Uint64("config", c.index.Config.Version)
+		e = e.Str("route", c.route.Name)
+	} else {
+		e = e.Dur("sinceControl", time.Since(time.Unix(0, c.gateway.lastContact.Load())))
 	}
 	if c.prompt.Model != "" {
 		e = e.Str("model", c.prompt.Model).Str("adapter", c.prompt.Adapter).Int("miss", d.prefillTokens)
--- a/lib/quorum/core.go
+++ b/lib/quorum/core.go
@@ -41,6 +41,10 @@
 	peers  map[string]netip.AddrPort
 	// voters is the intended number of voters.
 	voters int
+	// tolerance is the loss that the group must bear.
+	tolerance Tolerance
+	// zone and region are those of this member; empty if unknown.
+	zone, region string
 	// join is set if this member may only join an existing group, never form one.
 	join bool
 	// electionTimeout is the time without contact to a majority after which a leader steps down.
--- a/lib/quorum/node.go
+++ b/lib/quorum/node.go
@@ -89,6 +89,7 @@
 	// reportedLeadership is the last leadership that was reported to OnLeadershipChange and
 	// has not ended.
 	reportedLeadership leadershipChange
+	reported           reportedState
 }
 
 // status is the state that callers read without waiting for the loop.
@@ -172,7 +173,8 @@
 	}
 	n.core = newCore(coreConfig{
 		id: n.settings.ID, diskID: n.store.Meta().Disk, peers: n.settings.Peers,
-		voters: n.settings.Voters, join: n.settings.Join,
+		voters: n.settings.Voters, tolerance: n.settings.Tolerance, zone: n.settings.Zone, region: n.settings.Region,
+		join:            n.settings.Join,
 		electionTimeout: n.settings.ElectionTimeout, heartbeat: n.settings.Heartbeat,
 		chunkBytes: n.chunkBytes, random: rand.Int64N,
 	}, n.clock(), hard, snap, entries)
@@ -395,6 +397,7 @@
 	st.ready = c.role == leader && c.applied >= c.lead.firstIndex
 	st.leader = n.core.addr(c.leaderID)
 	n.status.Store(st)
+	n.logState()
 	now := leadershipChange{term: st.term, leading: st.ready}
 	if n.reportedLeadership.leading && (!now.leading || now.term != n.reportedLeadership.term) {
 		n.leadershipChanges.put(leadershipChange{term: n.reportedLeadership.term})
--- a/lib/quorum/settings.go
+++ b/lib/quorum/settings.go
@@ -21,6 +21,10 @@
 	Peers map[string]netip.AddrPort
 	// Voters is the intended number of voters; default the number of Peers.
 	Voters int
+	// Tolerance states the losses that the group must bear.
+	Tolerance Tolerance
+	// Zone and Region are the availability zone and the region of this member.
+	Zone, Region string
 	// Join is set if this member joins an existing group, to which its peers or
 	// members known to them belong, and never forms a new one.
 	Join bool
