--- a/lib/quorum/node.go
+++ b/lib/quorum/node.go
@@ -141,7 +141,7 @@
 	}
 	n := &Node{
 		settings: s, machine: m, pool: pool, log: daemon.DiscardLogger(), clock: time.Now,
-		onLeadershipChange: func(uint64, bool) {}, chunkBytes: 256 << 10,
+		onLeadershipChange: func(uint64, bool) {}, chunkBytes: defaultChunkBytes,
 		events: make(chan func(), 256), proposals: make(chan *proposal, maxProposalBatch),
 		confirms: make(chan *confirmation, maxProposalBatch), closing: make(chan struct{}),
 		jobs: newQueue[*job](), leadershipChanges: newQueue[leadershipChange](),
@@ -171,13 +171,9 @@
 			return err
 		}
 	}
-	n.core = newCore(coreConfig{
-		id: n.settings.ID, diskID: n.store.Meta().Disk, peers: n.settings.Peers,
-		voters: n.settings.Voters, tolerance: n.settings.Tolerance, zone: n.settings.Zone, region: n.settings.Region,
-		join:            n.settings.Join,
-		electionTimeout: n.settings.ElectionTimeout, heartbeat: n.settings.Heartbeat,
-		chunkBytes: n.chunkBytes, random: rand.Int64N,
-	}, n.clock(), hard, snap, entries)
+	cfg := n.settings.coreConfig(n.store.Meta().Disk, rand.Int64N)
+	cfg.chunkBytes = n.chunkBytes
+	n.core = newCore(cfg, n.clock(), hard, snap, entries)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.publishStatus()
 	n.wg.Go(n.loop)
--- a/lib/quorum/replica.go
+++ b/lib/quorum/replica.go
@@ -60,10 +60,7 @@
 			return nil, err
 		}
 	}
-	r.core = newCore(coreConfig{
-		id: s.ID, diskID: d.ID, peers: s.Peers, voters: s.Voters, join: s.Join, electionTimeout: s.ElectionTimeout, heartbeat: s.Heartbeat,
-		chunkBytes: 64 << 10, random: random,
-	}, now, d.hard, d.snap, slices.Clone(d.entries))
+	r.core = newCore(s.coreConfig(d.ID, random), now, d.hard, d.snap, slices.Clone(d.entries))
 	return r, nil
 }
 
--- a/lib/quorum/settings.go
+++ b/lib/quorum/settings.go
@@ -11,6 +11,9 @@
 	"bulrushpath.example/lib/store"
 )
 
+// defaultChunkBytes is the size of the chunks in which a snapshot is sent.
+const defaultChunkBytes = 256 << 10
+
 // Settings configures one member of the group.
 type Settings struct {
 	// ID identifies this member; it is a key of Peers.
@@ -59,6 +62,15 @@
 	}
 }
 
+// coreConfig returns the settings of the core of a member with the given disk.
+func (s *Settings) coreConfig(diskID []byte, random func(n int64) int64) coreConfig {
+	return coreConfig{
+		id: s.ID, diskID: diskID, peers: s.Peers, voters: s.Voters, tolerance: s.Tolerance,
+		zone: s.Zone, region: s.Region, join: s.Join, electionTimeout: s.ElectionTimeout,
+		heartbeat: s.Heartbeat, chunkBytes: defaultChunkBytes, random: random,
+	}
+}
+
 func (s *Settings) validate() error {
 	var errs []error
 	if addr, ok := s.Peers[s.ID]; !ok {
--- a/lib/quorum/sim_test.go
+++ b/lib/quorum/sim_test.go
@@ -82,6 +82,8 @@
 	// diskLossesLeft and removalsLeft limit the disks that may still be lost and the
 	// members that may still be removed.
 	diskLossesLeft, removalsLeft int
+	// configure changes the settings of a member before it starts; may be nil.
+	configure func(n *simNode, settings *Settings)
 	// massRestarts is set if most members may restart at the same time.
 	massRestarts bool
 	// confirmed is the number of successful confirmations.
@@ -126,10 +128,14 @@
 	if n.disk.snap != nil {
 		s.restore(n, n.disk.snap)
 	}
-	n.core = newCore(coreConfig{
-		id: n.id, diskID: n.disk.id, peers: peers, voters: len(peers), electionTimeout: simTimeout, heartbeat: simTimeout / 10,
-		chunkBytes: 64, random: func(v int64) int64 { return int64(s.randN(64)) * v / 64 },
-	}, s.now, n.disk.hard, n.disk.snap, slices.Clone(n.disk.entries))
+	settings := Settings{ID: n.id, Peers: peers, ElectionTimeout: simTimeout}
+	if s.configure != nil {
+		s.configure(n, &settings)
+	}
+	settings.setDefaults()
+	cfg := settings.coreConfig(n.disk.id, func(v int64) int64 { return int64(s.randN(64)) * v / 64 })
+	cfg.chunkBytes = 64
+	n.core = newCore(cfg, s.now, n.disk.hard, n.disk.snap, slices.Clone(n.disk.entries))
 }
 
 func (s *sim) restore(n *simNode, snap *snapshot) {
