Take the number and the places of voters from the losses that must be borne

Cause: three seeds form the group and it stayed at three voters, while FaultTolerance.Machines = 2 was read by nothing. Class: a stated requirement that no code compares with what is there.

Change: voters = 2 x the largest stated number of losses + 1, at least three. Three seeds still form the group; further instances join and become voters, in the least crowded zone (region) first; the number of voters grows from odd to odd; voters are exchanged while the group bears less than it has to. Settings changes take effect at a reload. Two control instances a zone; one without a disk is an observer, which is no member and refers callers to the leader; members tell observers where the group is, since after an exchange of the seeds nobody else may.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -197,7 +197,7 @@
 
 // StoreDocument stores a document if its version is the highest so far. It returns a
 // nil error once this document, or one with the same or a higher version, is durable at
-// a majority.
+// a majority, of a group that is not about to get missing voters.
 func (f *Fleet) StoreDocument(ctx context.Context, version uint64, content []byte) (stored bool, err error) {
 	if _, err := f.decode(version, content); err != nil {
 		f.log.Info().Str("event", "documentRefused").Uint64("version", version).Err(err).Msg("")
@@ -208,6 +208,9 @@
 	reply, err := call(ctx, f.svc, "Post", link.Protocol, &wire.Command{
 		Body: &wire.Command_Post{Post: &wire.Document{Version: version, Content: content}},
 	}, (*wire.CommandReply).GetPost)
+	if err == nil {
+		err = f.svc.group.AwaitTolerance(ctx)
+	}
 	if err != nil {
 		f.log.Warn().Str("event", "documentNotStored").Uint64("version", version).Err(err).Msg("")
 		return false, err
--- a/control/group.go
+++ b/control/group.go
@@ -21,8 +21,11 @@
 	Leader   func() (netip.AddrPort, bool)
 	Members  func() []*wire.MemberStatus
 	Transfer func(ctx context.Context) error
-	Exchange func(ctx context.Context, m *wire.QuorumMessage) (*wire.QuorumMessage, error)
-	Close    func() error
+	// AwaitTolerance and SetTolerance are those of quorum.Node.
+	AwaitTolerance func(ctx context.Context) error
+	SetTolerance   func(t quorum.Tolerance)
+	Exchange       func(ctx context.Context, m *wire.QuorumMessage) (*wire.QuorumMessage, error)
+	Close          func() error
 }
 
 // openGroup starts the consensus node of this instance.
@@ -32,10 +35,11 @@
 		Listen:          c.Listen,
 		Peers:           c.peers(),
 		Voters:          c.Voters,
-		Tolerance:       c.tolerance(),
+		Tolerance:       c.Tolerance(),
 		Zone:            zone,
 		Region:          c.Region,
 		Join:            c.Join,
+		Observer:        c.Observer,
 		DataDir:         c.DataDir,
 		ElectionTimeout: c.ElectionTimeout,
 		Heartbeat:       c.Heartbeat,
@@ -47,13 +51,15 @@
 		return nil, fmt.Errorf("open group: %w", err)
 	}
 	return &group{
-		Propose:  node.Propose,
-		Confirm:  node.Confirm,
-		Leading:  node.Leading,
-		Leader:   node.Leader,
-		Members:  node.Members,
-		Transfer: node.Transfer,
-		Exchange: node.Exchange,
-		Close:    node.Close,
+		Propose:        node.Propose,
+		Confirm:        node.Confirm,
+		Leading:        node.Leading,
+		Leader:         node.Leader,
+		Members:        node.Members,
+		Transfer:       node.Transfer,
+		AwaitTolerance: node.AwaitTolerance,
+		SetTolerance:   node.SetTolerance,
+		Exchange:       node.Exchange,
+		Close:          node.Close,
 	}, nil
 }
--- a/control/option.go
+++ b/control/option.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"bulrushpath.example/lib/quorum"
 	"bulrushpath.example/lib/site"
 )
 
@@ -16,6 +17,8 @@
 	engineClient EngineClient
 	frontend     func(f *Fleet) (io.Closer, error)
 	orderPause   time.Duration
+	// tolerances receives changes of the losses that the group must bear; may be nil.
+	tolerances <-chan quorum.Tolerance
 	// announcePeriod is the expected interval between two announcements of a target.
 	announcePeriod time.Duration
 }
@@ -42,6 +45,11 @@
 // do not check fencing tokens.
 func WithOrderPause(d time.Duration) Option { return func(o *options) { o.orderPause = d } }
 
+// WithToleranceUpdates passes changes of the settings to the running instance.
+func WithToleranceUpdates(updates <-chan quorum.Tolerance) Option {
+	return func(o *options) { o.tolerances = updates }
+}
+
 // WithAnnouncePeriod sets the expected interval between two announcements of a target.
 // The leader uses it to decide when a silent target is probably gone.
 func WithAnnouncePeriod(d time.Duration) Option { return func(o *options) { o.announcePeriod = d } }
--- a/control/publish.go
+++ b/control/publish.go
@@ -29,6 +29,9 @@
 	cmd.Config.Digest = digest
 	reply, err := call(ctx, s, "Publish", req.GetProtocol(),
 		&wire.Command{Body: &wire.Command_Publish{Publish: cmd}}, (*wire.CommandReply).GetPublish)
+	if err == nil {
+		err = s.group.AwaitTolerance(ctx)
+	}
 	if err == nil {
 		s.log.Info().Str("event", "published").Str("operator", req.GetOperator()).
 			Uint64("base", req.GetBaseVersion()).Uint64("version", reply.GetVersion()).
--- a/control/run.go
+++ b/control/run.go
@@ -13,6 +13,7 @@
 
 	"bulrushpath.example/lib/daemon"
 	"bulrushpath.example/lib/link"
+	"bulrushpath.example/lib/quorum"
 	"bulrushpath.example/lib/wire"
 )
 
@@ -67,6 +68,7 @@
 	defer stopTasks()
 	var wg sync.WaitGroup
 	wg.Go(func() { daemon.RunTasks(taskCtx, p.Log, tasks) })
+	wg.Go(func() { svc.applyTolerances(taskCtx, o.tolerances) })
 	<-ctx.Done()
 	stopFleet()
 	err = svc.shutdown(c.ShutdownTimeout)
@@ -76,6 +78,18 @@
 	return err
 }
 
+// applyTolerances passes changes of the tolerance to the group until ctx is done.
+func (s *service) applyTolerances(ctx context.Context, updates <-chan quorum.Tolerance) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-updates:
+			s.group.SetTolerance(t)
+		}
+	}
+}
+
 // register registers the services Control and Quorum, which every instance serves. Run
 // also registers Fleet if it is enabled.
 func (s *service) register(mux *drpcmux.Mux) error {
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -21,6 +21,7 @@
 	"bulrushpath.example/lib/daemon"
 	"bulrushpath.example/lib/link"
 	"bulrushpath.example/lib/member"
+	"bulrushpath.example/lib/quorum"
 	"bulrushpath.example/lib/wire"
 )
 
@@ -43,12 +44,14 @@
 			index++
 			return s.apply(index, time.Now(), command), nil
 		},
-		Confirm:  func(context.Context) error { return nil },
-		Leading:  func() (uint64, bool) { return 1, true },
-		Leader:   func() (netip.AddrPort, bool) { return netip.AddrPort{}, false },
-		Members:  func() []*wire.MemberStatus { return nil },
-		Transfer: func(context.Context) error { return nil },
-		Close:    func() error { return nil },
+		Confirm:        func(context.Context) error { return nil },
+		Leading:        func() (uint64, bool) { return 1, true },
+		Leader:         func() (netip.AddrPort, bool) { return netip.AddrPort{}, false },
+		Members:        func() []*wire.MemberStatus { return nil },
+		Transfer:       func(context.Context) error { return nil },
+		AwaitTolerance: func(context.Context) error { return nil },
+		SetTolerance:   func(quorum.Tolerance) {},
+		Close:          func() error { return nil },
 	}
 }
 
--- a/control/settings.go
+++ b/control/settings.go
@@ -28,11 +28,16 @@
 	// Join makes this instance join the existing group of the other peers instead of
 	// forming a new one. Peers may then list only some of the group's members.
 	Join bool `ini:"join"`
-	// Voters is the intended number of voters in the group, by default all Peers.
+	// Observer makes this instance one without a disk: it is no member of the group and
+	// refers callers to the leader.
+	Observer bool `ini:"observer"`
+	// Voters is the intended number of voters in the group. By default, these are as many as
+	// the stated losses require, or all Peers if none are stated.
 	Voters int `ini:"voters"`
 	// TolerateInstances, TolerateZones and TolerateRegions state how many control
 	// instances, availability zones or regions may be lost at the same time, with their
-	// disks. The leader logs whether the group bears that.
+	// disks. The group has as many voters, in as many zones, as that requires; its leader
+	// logs whether there are enough.
 	TolerateInstances int `ini:"tolerateInstances"`
 	TolerateZones     int `ini:"tolerateZones"`
 	TolerateRegions   int `ini:"tolerateRegions"`
@@ -111,7 +116,7 @@
 	if !c.Listen.IsValid() {
 		out.Addf("control.listen", "missing; want an address such as 10.0.0.1:7000")
 	}
-	if c.DataDir == "" {
+	if c.DataDir == "" && !c.Observer {
 		out.Addf("control.dataDir", "missing; want a directory that only this instance uses")
 	}
 	c.validatePeers(out)
@@ -157,13 +162,16 @@
 	if !seen[c.ID] {
 		out.Addf("control.peers", "this instance, %q, is not listed", c.ID)
 	}
+	if n, want := len(c.Peers), c.Tolerance().Voters(); c.Tolerance() != (quorum.Tolerance{}) && n < want && !c.Join {
+		out.Addf("control.peers", "%d instances do not bear the stated losses; want at least %d, or further ones that join", n, want)
+	}
 	if n := len(c.Peers); n > 0 && n%2 == 0 && !c.Join {
 		out.Addf("control.peers", "%d instances tolerate no more failures than %d; want an odd number", n, n-1)
 	}
 }
 
-// tolerance returns the losses that the group must bear.
-func (c *Control) tolerance() quorum.Tolerance {
+// Tolerance returns the losses that the group must bear.
+func (c *Control) Tolerance() quorum.Tolerance {
 	return quorum.Tolerance{Members: c.TolerateInstances, Zones: c.TolerateZones, Regions: c.TolerateRegions}
 }
 
--- a/lib/quorum/call.go
+++ b/lib/quorum/call.go
@@ -76,6 +76,34 @@
 	}
 }
 
+// tolerancePollInterval is the interval at which AwaitTolerance checks the group.
+const tolerancePollInterval = 10 * time.Millisecond
+
+// AwaitTolerance returns nil once the group has its intended number of voters, or if it
+// will not have them soon. A caller acknowledges what it has proposed only after that,
+// because a group that still grows bears fewer losses than it is told to.
+func (n *Node) AwaitTolerance(ctx context.Context) error {
+	for n.status.Load().growing {
+		select {
+		case <-time.After(tolerancePollInterval):
+		case <-ctx.Done():
+			return link.Errorf(link.CodeNoQuorum, "wait for voters: %w", ctx.Err())
+		case <-n.closing:
+			return link.Errorf(link.CodeNoQuorum, "wait for voters: %w", errClosed)
+		}
+	}
+	return nil
+}
+
+// SetTolerance changes the losses that the group must bear, and with them the number of
+// voters. It takes effect while this member leads.
+func (n *Node) SetTolerance(t Tolerance) {
+	n.post(func() {
+		n.core.cfg.tolerance, n.core.cfg.voters = t, t.Voters()
+		n.processOutput(nil, nil)
+	})
+}
+
 // Leading returns the current term. ok is false if this member does not lead or has
 // told another one to take over, before it has applied all entries of earlier terms,
 // and if by its own clock no majority has answered it for one election timeout.
@@ -84,7 +112,8 @@
 	return st.term, st.ready && n.clock().Before(st.leaseEnd)
 }
 
-// Leader returns the address of the leader; ok is false if it is unknown.
+// Leader returns the address of the leader as far as this member knows; ok is false if it
+// is unknown. A member outside the group knows it from the members.
 func (n *Node) Leader() (addr netip.AddrPort, ok bool) {
 	st := n.status.Load()
 	return st.leader, st.leader.IsValid()
@@ -156,7 +185,9 @@
 		close(n.closing)
 		n.cancel()
 		n.wg.Wait()
-		n.closeErr = n.store.Close()
+		if n.store != nil {
+			n.closeErr = n.store.Close()
+		}
 	})
 	return n.closeErr
 }
--- a/lib/quorum/core.go
+++ b/lib/quorum/core.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"net/netip"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -47,6 +46,8 @@
 	zone, region string
 	// join is set if this member may only join an existing group, never form one.
 	join bool
+	// observer is set if this member has no disk: it sends Hello to learn who leads.
+	observer bool
 	// electionTimeout is the time without contact to a majority after which a leader steps down.
 	electionTimeout time.Duration
 	heartbeat       time.Duration
@@ -129,7 +130,11 @@
 	peers []string
 	// addr is the address from a Hello message of the peer; invalid if there was none.
 	addr netip.AddrPort
-	at   time.Time
+	// zone and region are those of the peer; empty if unknown.
+	zone, region string
+	// observer is set if the peer never joins a group.
+	observer bool
+	at       time.Time
 }
 
 // core is the consensus state machine of one member. It does no I/O: it takes
@@ -182,6 +187,10 @@
 	joinHelloAt time.Time
 	// knownAddrs holds the addresses of members as reported by other members.
 	knownAddrs map[string]netip.AddrPort
+	// leaderHint is the leader as last named by another member, at leaderHintAt. A member
+	// outside the group has no other knowledge of the leader.
+	leaderHint   netip.AddrPort
+	leaderHintAt time.Time
 	// sequence is the number of the last request.
 	sequence uint64
 	out      output
@@ -306,18 +315,34 @@
 		r.Term = c.hard.term
 	}
 	r.Empty, r.Group = c.empty(), c.hard.group
-	if m.Kind == wire.MessageKind_MESSAGE_KIND_HELLO && !r.Empty {
-		r.Membership = proto.CloneOf(c.members.current())
+	if m.Kind == wire.MessageKind_MESSAGE_KIND_HELLO {
+		c.answerHello(r)
 	}
 	if r.Empty {
 		r.Membership = &wire.Membership{}
-		for _, id := range c.peerIDs() {
-			r.Membership.Members = append(r.Membership.Members, &wire.Member{Id: id})
+		for _, id := range c.namedIDs() {
+			x := &wire.Member{Id: id}
+			if addr := c.addr(id); addr.IsValid() {
+				x.Address = addr.String()
+			}
+			r.Membership.Members = append(r.Membership.Members, x)
 		}
 	}
 	return r
 }
 
+// answerHello fills in the reply to a Hello message, which shows a member outside the
+// group where it is and who leads it.
+func (c *core) answerHello(r *wire.QuorumMessage) {
+	r.Zone, r.Region, r.Observer = c.cfg.zone, c.cfg.region, c.cfg.observer
+	if addr := c.leaderAddr(); addr.IsValid() {
+		r.LeaderAddress = addr.String()
+	}
+	if !r.Empty {
+		r.Membership = proto.CloneOf(c.members.current())
+	}
+}
+
 // contiguous reports whether the entries of an append have consecutive indexes,
 // beginning after PrevIndex.
 func contiguous(m *wire.QuorumMessage) bool {
@@ -358,10 +383,18 @@
 	if m.To != c.cfg.id || !bytes.Equal(m.ToDisk, c.cfg.diskID) {
 		return
 	}
-	report := peerReport{diskID: m.FromDisk, empty: m.Empty, group: m.Group, addr: c.reports[m.From].addr, at: c.now}
+	old := c.reports[m.From]
+	report := peerReport{
+		diskID: m.FromDisk, empty: m.Empty, group: m.Group, addr: old.addr, zone: old.zone, region: old.region,
+		observer: old.observer, at: c.now,
+	}
 	for _, x := range m.Membership.GetMembers() {
 		report.peers = append(report.peers, x.Id)
 	}
+	if m.Kind == wire.MessageKind_MESSAGE_KIND_HELLO {
+		report.zone, report.region, report.observer = m.Zone, m.Region, m.Observer
+		c.recordLeaderHint(m)
+	}
 	c.recordAddrs(m.Membership)
 	c.reports[m.From] = report
 	if m.Empty && isColdPreVoteReply(m) {
@@ -445,107 +478,3 @@
 	}
 	c.setBlocked(true)
 }
-
-// tickEmpty forms a group if possible. Only the member with the lowest id does so:
-// two members that form groups concurrently could list different disk identities
-// for a third.
-func (c *core) tickEmpty() {
-	ids := c.peerIDs()
-	if len(ids) == 0 || ids[0] != c.cfg.id || c.blocked || c.cfg.join {
-		return
-	}
-	if c.allEmpty(ids) {
-		c.formGroup(ids)
-		return
-	}
-	if c.now.Before(c.formHelloAt) {
-		return
-	}
-	c.formHelloAt = c.now.Add(c.cfg.heartbeat)
-	for _, id := range ids {
-		if id != c.cfg.id {
-			c.sendHello(id)
-		}
-	}
-}
-
-// allEmpty reports whether all initial members have answered within the last
-// election timeout, have never belonged to a group and are configured with the
-// same initial members.
-func (c *core) allEmpty(ids []string) bool {
-	for _, id := range ids {
-		r := c.reports[id]
-		if id == c.cfg.id {
-			continue
-		}
-		if !r.empty || c.now.Sub(r.at) > c.cfg.electionTimeout || !slices.Equal(r.peers, ids) {
-			return false
-		}
-	}
-	return true
-}
-
-// formGroup creates the first membership, in which all initial members are voters.
-func (c *core) formGroup(ids []string) {
-	m := &wire.Membership{}
-	for _, id := range ids {
-		disk := c.cfg.diskID
-		if id != c.cfg.id {
-			disk = c.reports[id].diskID
-		}
-		m.Members = append(m.Members, &wire.Member{
-			Id: id, Address: c.cfg.peers[id].String(), DiskId: disk, Voter: true,
-		})
-	}
-	m.Group = groupID(m.Members)
-	c.appendFirstEntry(&wire.LogEntry{Index: 1, Term: 1, Membership: m, UnixMillis: c.now.UnixMilli()})
-}
-
-// appendFirstEntry sets the group of an empty member and appends first as its first log entry.
-func (c *core) appendFirstEntry(first *wire.LogEntry) {
-	c.hard.group, c.hard.term = first.Membership.Group, max(first.Term, c.hard.term)
-	c.hardChanged()
-	c.appendToLog(first)
-	c.electionAt = c.now
-	if len(first.Membership.Members) > 1 {
-		c.retryElection()
-	}
-}
-
-// acceptFirstEntry joins the group of m if its first entry lists this member with its
-// empty disk.
-func (c *core) acceptFirstEntry(m *wire.QuorumMessage) {
-	if !c.empty() || m.Kind == wire.MessageKind_MESSAGE_KIND_APPEND || len(m.Entries) == 0 {
-		return
-	}
-	first := m.Entries[0]
-	if first.Index == 1 && first.Membership != nil && hasMember(first.Membership, c.cfg.id, c.cfg.diskID) {
-		c.appendFirstEntry(proto.CloneOf(first))
-	}
-}
-
-// firstEntry returns the first log entry, which empty members need to join; nil if it
-// was compacted.
-func (c *core) firstEntry() []*wire.LogEntry {
-	if c.log.base == 0 && len(c.log.entries) > 0 {
-		return c.log.entries[:1:1]
-	}
-	return nil
-}
-
-func (c *core) sendHello(id string) {
-	m := c.request(wire.MessageKind_MESSAGE_KIND_HELLO, id, nil)
-	m.Empty, m.Entries = c.empty(), c.firstEntry()
-	m.FromAddress = c.cfg.peers[c.cfg.id].String()
-	c.out.messages = append(c.out.messages, m)
-}
-
-// peerIDs returns the sorted ids of the initial members.
-func (c *core) peerIDs() []string {
-	ids := make([]string, 0, len(c.cfg.peers))
-	for id := range c.cfg.peers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/lib/quorum/disk.go
+++ b/lib/quorum/disk.go
@@ -94,6 +94,9 @@
 // persist writes the jobs to disk. It removes from them what is durable, so that
 // another call after a failure continues where this one ended.
 func (n *Node) persist(jobs []*job) error {
+	if n.store == nil {
+		return nil // An observer keeps nothing.
+	}
 	var hard *hardState
 	for i := 0; i < len(jobs); {
 		j := jobs[i]
--- a/lib/quorum/join.go
+++ b/lib/quorum/join.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -21,6 +22,9 @@
 	// removeLearnerTimeouts is the number of election timeouts without an answer after which a
 	// learner is removed.
 	removeLearnerTimeouts = 8
+	// leaderHintTimeouts is the number of election timeouts for which a member outside the
+	// group believes which leader it was told.
+	leaderHintTimeouts = 3
 	// maxLearners bounds the learners in the membership.
 	maxLearners = 2
 )
@@ -36,13 +40,49 @@
 		return
 	}
 	c.joinHelloAt = c.now.Add(joinHelloHeartbeats * c.cfg.heartbeat)
+	leader, known := c.recentLeaderHint()
 	for _, id := range c.knownIDs() {
-		if id != c.cfg.id {
+		if id != c.cfg.id && (!known || c.addr(id) == leader) {
 			c.sendHello(id)
 		}
 	}
 }
 
+// namedIDs returns the ids that an empty member names to others. A member that may form a
+// group names only the initial members, because all of them must name the same ones.
+func (c *core) namedIDs() []string {
+	if c.cfg.join {
+		return c.knownIDs()
+	}
+	return c.peerIDs()
+}
+
+// recordLeaderHint records which leader the sender of a reply to Hello knows.
+func (c *core) recordLeaderHint(m *wire.QuorumMessage) {
+	if addr, err := netip.ParseAddrPort(m.LeaderAddress); err == nil {
+		c.leaderHint, c.leaderHintAt = addr, c.now
+	}
+}
+
+// recentLeaderHint returns the leader as named by another member; ok is false if none has
+// named one lately, or this member is in the group and has to hear from the leader itself.
+func (c *core) recentLeaderHint() (addr netip.AddrPort, ok bool) {
+	ok = c.leaderHint.IsValid() && c.now.Sub(c.leaderHintAt) < leaderHintTimeouts*c.cfg.electionTimeout &&
+		!hasMember(c.members.current(), c.cfg.id, c.cfg.diskID)
+	return c.leaderHint, ok
+}
+
+// leaderAddr returns the address of the known leader; invalid if it is unknown.
+func (c *core) leaderAddr() netip.AddrPort {
+	if c.leaderID != "" {
+		return c.addr(c.leaderID)
+	}
+	if addr, ok := c.recentLeaderHint(); ok {
+		return addr
+	}
+	return netip.AddrPort{}
+}
+
 // knownIDs returns the sorted ids of all members known to this one.
 func (c *core) knownIDs() []string {
 	ids := c.peerIDs()
@@ -57,7 +97,8 @@
 }
 
 // recordHello records the Hello of a member that is not in the membership with its
-// current disk.
+// current disk. A member outside the group learns from it where the group is, even if its
+// own seeds do not know.
 func (c *core) recordHello(m *wire.QuorumMessage) {
 	if m.Kind != wire.MessageKind_MESSAGE_KIND_HELLO || hasMember(c.members.current(), m.From, m.FromDisk) {
 		return
@@ -66,8 +107,12 @@
 	if err != nil {
 		return
 	}
+	if c.empty() && !m.Empty {
+		c.knownAddrs[m.From] = addr
+	}
 	c.reports[m.From] = peerReport{
-		diskID: m.FromDisk, empty: m.Empty, group: m.Group, peers: c.reports[m.From].peers, addr: addr, at: c.now,
+		diskID: m.FromDisk, empty: m.Empty, group: m.Group, peers: c.reports[m.From].peers, addr: addr,
+		zone: m.Zone, region: m.Region, observer: m.Observer, at: c.now,
 	}
 }
 
@@ -109,25 +154,31 @@
 	return voters, learners
 }
 
-// nextJoiner returns the first id of a member outside the group that may join it; empty
-// if there is none, or the group has its maximum number of members or learners.
-func (c *core) nextJoiner() string {
-	cur := c.members.current()
-	voters, learners := countMembers(cur)
+// reportedMember returns a learner with the disk and the place that it has reported.
+func (c *core) reportedMember(id string) *wire.Member {
+	r := c.reports[id]
+	return &wire.Member{Id: id, Address: c.addr(id).String(), DiskId: r.diskID, Zone: r.zone, Region: r.region}
+}
+
+// nextJoiner returns the member outside the group that joins it next, as a learner: the one
+// where the group has the fewest members. It returns nil if there is none, or the group has
+// its maximum number of members or learners.
+func (c *core) nextJoiner() *wire.Member {
+	voters, learners := countMembers(c.members.current())
 	if learners >= maxLearners || voters+learners >= c.cfg.voters+maxLearners {
-		return ""
-	}
-	ids := make([]string, 0, len(c.reports))
-	for id := range c.reports {
-		ids = append(ids, id)
+		return nil
 	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		if _, ok := c.joinable(id); ok && findMember(cur, id) == nil && c.addr(id).IsValid() {
-			return id
+	return leastCrowded(c.members.current(), c.joiners(), c.cfg.tolerance)
+}
+
+// joiners returns the members outside the group that may join it, ordered by id.
+func (c *core) joiners() (out []*wire.Member) {
+	for _, id := range slices.Sorted(maps.Keys(c.reports)) {
+		if _, ok := c.joinable(id); ok && findMember(c.members.current(), id) == nil && c.addr(id).IsValid() {
+			out = append(out, c.reportedMember(id))
 		}
 	}
-	return ""
+	return out
 }
 
 // unresponsiveFor reports whether a member has not answered this leader for n election
@@ -144,13 +195,18 @@
 	return c.now.Sub(last) >= time.Duration(n)*c.cfg.electionTimeout
 }
 
-// memberToRemove returns a member to remove because it has not answered for long: a
-// learner, or a voter if a learner has caught up. It returns nil if there is none.
+// memberToRemove returns a member to remove; nil if there is none. It is a learner that has
+// not answered for long, a voter that has not if a learner has caught up, or one of too
+// many voters.
 func (c *core) memberToRemove(caughtUp bool) *wire.Member {
-	for _, m := range c.members.current().Members {
+	cur := c.members.current()
+	for _, m := range cur.Members {
 		if caughtUp && m.Voter && c.unresponsiveFor(m, replaceVoterTimeouts) || !m.Voter && c.unresponsiveFor(m, removeLearnerTimeouts) {
 			return m
 		}
 	}
-	return nil
+	if voters, _ := countMembers(cur); voters <= c.cfg.voters {
+		return nil
+	}
+	return mostCrowdedVoter(cur, c.cfg.id, c.cfg.tolerance)
 }
--- a/lib/quorum/join_test.go
+++ b/lib/quorum/join_test.go
@@ -127,3 +127,40 @@
 	g.kill(g.members[1])
 	eventually(t, "the returned member votes again", func() bool { return g.votersAre("c0", "c2", "d0") })
 }
+
+// Guards against an observer that cannot refer callers to the leader: one that joins through
+// members of the group, and one whose seeds are observers, which only the group knows.
+func TestObserverKnowsTheLeader(t *testing.T) {
+	g := newGroup(t, 3, func(s *Settings) {
+		s.Voters = 3
+		if strings.HasPrefix(s.ID, "o") {
+			s.Observer, s.DataDir = true, ""
+			delete(s.Peers, "c0")
+			delete(s.Peers, "c1")
+			delete(s.Peers, "c2")
+		}
+	})
+	g.propose("early")
+	o := g.add("o0")
+	knowsLeader := func(m *member) func() bool {
+		return func() bool {
+			addr, ok := m.node.Leader()
+			return ok && addr == g.leader().addr
+		}
+	}
+	time.Sleep(2 * time.Second)
+	_, ok := o.node.Leader()
+	assert.Assert(t, !ok, "nobody can have told the observer")
+	// The members are started again, with settings that name the observer.
+	for _, m := range g.members[:3] {
+		g.kill(m)
+		g.start(m)
+	}
+	eventually(t, "the observer knows the leader", knowsLeader(o))
+	g.kill(g.leader())
+	eventually(t, "the observer knows the next leader", knowsLeader(o))
+	assert.Assert(t, g.leader().node.Members() != nil)
+	for _, m := range g.leader().node.Members() {
+		assert.Assert(t, m.GetId() != "o0", "the observer is a member")
+	}
+}
--- a/lib/quorum/lead.go
+++ b/lib/quorum/lead.go
@@ -27,6 +27,12 @@
 	peers map[string]*progress
 	// heartbeatAt is when the next heartbeat is due.
 	heartbeatAt time.Time
+	// growing is set while acknowledgements should wait for missing voters.
+	growing bool
+	// shortSince is the time since which the group is short of voters; zero if it is not.
+	shortSince time.Time
+	// askPlacesAt is when the members without a known zone are asked next.
+	askPlacesAt time.Time
 	// transferTarget is the id of the voter that takes over the leadership once its log is
 	// complete; empty if no transfer is in progress.
 	transferTarget string
@@ -76,6 +82,7 @@
 	c.endColdStart()
 	c.lead = &leaderState{since: c.now, firstIndex: c.log.last() + 1, peers: map[string]*progress{}}
 	c.syncPeers(c.lead.firstIndex)
+	c.updateGrowing()
 	c.propose(nil, nil)
 	c.tickLeader()
 }
@@ -159,7 +166,9 @@
 		l.heartbeatAt = c.now.Add(c.cfg.heartbeat)
 		c.expireInflight()
 		c.heartbeat()
+		c.askPlaces()
 		c.repairMembership()
+		c.updateGrowing()
 	}
 	c.send()
 }
@@ -249,69 +258,3 @@
 	m := c.request(wire.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, l.transferTarget, p.diskID)
 	c.out.messages = append(c.out.messages, m)
 }
-
-// repairMembership keeps the group at its number of voters, one membership change at a
-// time. A member that lost its disk is removed under its old disk identity. A new disk
-// identity or a new member is added as learner. It becomes a voter when it has
-// caught up and a voter is missing. A voter that has not answered for long is
-// removed if a learner has caught up.
-func (c *core) repairMembership() {
-	if c.lead.transferTarget != "" || c.commit < c.lead.firstIndex || c.members.index() > c.commit {
-		return
-	}
-	cur := c.members.current()
-	for _, m := range cur.Members {
-		p := c.lead.peers[m.Id]
-		if p == nil {
-			continue
-		}
-		unresponsive := c.now.Sub(p.ackedAt) >= c.cfg.electionTimeout
-		if r, ok := c.joinable(m.Id); ok && unresponsive && !sameID(r.diskID, m.DiskId) {
-			c.propose(nil, withoutMember(cur, m.Id))
-			return
-		}
-	}
-	if id := c.nextJoiner(); id != "" {
-		c.propose(nil, withMember(cur, &wire.Member{Id: id, Address: c.addr(id).String(), DiskId: c.reports[id].diskID}))
-		return
-	}
-	learner := c.caughtUpLearner()
-	if voters, _ := countMembers(cur); learner != nil && voters < c.cfg.voters {
-		c.propose(nil, withMember(cur, &wire.Member{
-			Id: learner.Id, Address: learner.Address, DiskId: learner.DiskId, Voter: true,
-		}))
-		return
-	}
-	if m := c.memberToRemove(learner != nil); m != nil {
-		c.propose(nil, withoutMember(cur, m.Id))
-	}
-}
-
-// caughtUpLearner returns a reachable learner whose log reaches the end that the log of
-// this leader had at the previous call; nil if there is none. Calls are at least one
-// heartbeat apart.
-func (c *core) caughtUpLearner() *wire.Member {
-	var learner *wire.Member
-	for _, m := range c.members.current().Members {
-		p := c.lead.peers[m.Id]
-		if p == nil || m.Voter || c.now.Sub(p.ackedAt) >= c.cfg.electionTimeout {
-			continue
-		}
-		caughtUp := p.catchUpIndex > 0 && p.match >= p.catchUpIndex
-		p.catchUpIndex = c.log.last()
-		if caughtUp && learner == nil {
-			learner = m
-		}
-	}
-	return learner
-}
-
-// joinable returns the last report of a peer and whether it is recent and the peer may
-// join this group: its disk is empty or belongs to the group.
-func (c *core) joinable(id string) (peerReport, bool) {
-	r, ok := c.reports[id]
-	if !ok || c.now.Sub(r.at) >= 2*c.cfg.electionTimeout {
-		return peerReport{}, false
-	}
-	return r, r.empty || sameID(r.group, c.hard.group)
-}
--- a/lib/quorum/node.go
+++ b/lib/quorum/node.go
@@ -27,6 +27,8 @@
 	// maxProposalBatch is the capacity of the channels for calls of Propose and of Confirm,
 	// and bounds the queued proposals that are appended together with the first one.
 	maxProposalBatch = 1024
+	// observerIDBytes is the size of the identity of an observer.
+	observerIDBytes = 16
 	// maxInflightRequests bounds the unanswered requests to one peer, which accumulate if
 	// it does not answer.
 	maxInflightRequests = 64
@@ -44,7 +46,8 @@
 	onLeadershipChange func(term uint64, leading bool)
 	storeOpts          []store.Option
 	chunkBytes         int
-	store              *store.Store
+	// store is nil for an observer.
+	store *store.Store
 
 	// events run on the loop goroutine, the only one that uses the fields from core on.
 	events            chan func()
@@ -100,6 +103,8 @@
 	leaseEnd time.Time
 	leader   netip.AddrPort
 	members  *wire.Membership
+	// growing is set while acknowledgements should wait for missing voters.
+	growing bool
 }
 
 // peer is the connection state of another member, shared by the goroutines that send to it.
@@ -150,6 +155,10 @@
 	for _, opt := range opts {
 		opt(n)
 	}
+	if s.Observer {
+		n.startCore(newObserverID(), hardState{}, nil, nil)
+		return n, nil
+	}
 	var err error
 	if n.store, err = store.Open(s.DataDir, n.storeOpts...); err != nil {
 		return nil, fmt.Errorf("open store: %w", err)
@@ -161,6 +170,17 @@
 	return n, nil
 }
 
+// newObserverID returns the identity of an observer in place of a disk identity.
+func newObserverID() []byte {
+	id := make([]byte, observerIDBytes)
+	for i := range id {
+		id[i] = byte(rand.Uint32())
+	}
+	return id
+}
+
+// start reads the durable state and starts the member with it.
+
 func (n *Node) start() error {
 	hard, snap, entries, err := loadState(n.store)
 	if err != nil {
@@ -171,7 +191,13 @@
 			return err
 		}
 	}
-	cfg := n.settings.coreConfig(n.store.Meta().Disk, rand.Int64N)
+	n.startCore(n.store.Meta().Disk, hard, snap, entries)
+	return nil
+}
+
+// startCore starts the goroutines of the member.
+func (n *Node) startCore(diskID []byte, hard hardState, snap *snapshot, entries []*wire.LogEntry) {
+	cfg := n.settings.coreConfig(diskID, rand.Int64N)
 	cfg.chunkBytes = n.chunkBytes
 	n.core = newCore(cfg, n.clock(), hard, snap, entries)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -179,7 +205,6 @@
 	n.wg.Go(n.loop)
 	n.wg.Go(n.diskLoop)
 	n.wg.Go(n.leadershipLoop)
-	return nil
 }
 
 // loop handles all events of the core, which is not safe for concurrent use.
@@ -391,7 +416,7 @@
 	c := n.core
 	st := &status{term: c.hard.term, leaseEnd: c.leaseEnd(), members: c.members.current()}
 	st.ready = c.role == leader && c.applied >= c.lead.firstIndex
-	st.leader = n.core.addr(c.leaderID)
+	st.leader, st.growing = c.leaderAddr(), c.growing()
 	n.status.Store(st)
 	n.logState()
 	now := leadershipChange{term: st.term, leading: st.ready}
--- a/lib/quorum/replicate.go
+++ b/lib/quorum/replicate.go
@@ -63,8 +63,8 @@
 	return n
 }
 
-// heartbeat sends an empty append to all members, and Hello to the initial members
-// that are not in the group.
+// heartbeat sends an empty append to all members, and from time to time Hello to the initial
+// members that are not in the group.
 func (c *core) heartbeat() {
 	cur := c.members.current()
 	for _, m := range cur.Members {
@@ -81,6 +81,10 @@
 		}
 		c.sendAppend(m.Id, p, prev, term, nil)
 	}
+	if c.now.Before(c.joinHelloAt) {
+		return
+	}
+	c.joinHelloAt = c.now.Add(joinHelloHeartbeats * c.cfg.heartbeat)
 	for _, id := range c.peerIDs() {
 		if findMember(cur, id) == nil {
 			c.sendHello(id)
--- a/lib/quorum/report.go
+++ b/lib/quorum/report.go
@@ -13,6 +13,9 @@
 // reportedState is the state of the last log lines, so that only changes are logged.
 type reportedState struct {
 	membersIndex uint64
+	// leading and tolerance are those at the last check of the tolerance.
+	leading   bool
+	tolerance Tolerance
 	// unmet is set while the group bears less than its tolerance states.
 	unmet bool
 	// noMajorityAt is the time of the last log line about a missing majority.
@@ -24,16 +27,16 @@
 func (n *Node) logState() {
 	c, r := n.core, &n.reported
 	m := c.members.current()
-	if index := c.members.index(); index != r.membersIndex {
+	index := c.members.index()
+	changed := index != r.membersIndex
+	if changed {
 		r.membersIndex = index
 		voters, learners := memberIDs(m)
 		n.log.Info().Str("event", "membership").Uint64("index", index).Strs("voters", voters).Strs("learners", learners).Msg("")
 	}
-	if unmet := c.role == leader && !c.cfg.tolerance.bears(m); unmet != r.unmet {
-		r.unmet = unmet
-		voters, _ := countMembers(m)
-		n.log.Warn().Str("event", "tolerance").Bool("met", !unmet).Int("voters", voters).Int("wanted", c.cfg.voters).
-			Int("members", c.cfg.tolerance.Members).Int("zones", c.cfg.tolerance.Zones).Int("regions", c.cfg.tolerance.Regions).Msg("")
+	if leading := c.role == leader; changed || leading != r.leading || c.cfg.tolerance != r.tolerance {
+		r.leading, r.tolerance = leading, c.cfg.tolerance
+		n.logTolerance(m)
 	}
 	pause := noMajorityTimeouts * c.cfg.electionTimeout
 	if c.leaderID == "" && c.voter() && c.now.Sub(c.lastContact) >= pause && c.now.Sub(r.noMajorityAt) >= pause {
@@ -42,6 +45,21 @@
 	}
 }
 
+// logTolerance logs whether the group of this leader bears what it has to, if that has
+// changed.
+func (n *Node) logTolerance(m *wire.Membership) {
+	c, r := n.core, &n.reported
+	t := c.cfg.tolerance
+	unmet := r.leading && !t.bears(m)
+	if unmet == r.unmet {
+		return
+	}
+	r.unmet = unmet
+	voters, _ := countMembers(m)
+	n.log.Warn().Str("event", "tolerance").Bool("met", !unmet).Int("voters", voters).Int("wanted", c.cfg.voters).
+		Int("members", t.Members).Int("zones", t.Zones).Int("regions", t.Regions).Msg("")
+}
+
 // logNoMajority logs which voters have answered lately, and which of those have another
 // disk than the membership states and therefore no vote.
 func (n *Node) logNoMajority(m *wire.Membership) {
--- a/lib/quorum/settings.go
+++ b/lib/quorum/settings.go
@@ -22,7 +22,8 @@
 	Listen netip.AddrPort
 	// Peers holds the addresses of all initial members, this one included.
 	Peers map[string]netip.AddrPort
-	// Voters is the intended number of voters; default the number of Peers.
+	// Voters is the intended number of voters; default the number that Tolerance requires,
+	// or the number of Peers if Tolerance states no loss.
 	Voters int
 	// Tolerance states the losses that the group must bear.
 	Tolerance Tolerance
@@ -31,6 +32,9 @@
 	// Join is set if this member joins an existing group, to which its peers or
 	// members known to them belong, and never forms a new one.
 	Join bool
+	// Observer makes this member one without a disk: it never joins the group and only
+	// knows who leads it. DataDir is not used.
+	Observer bool
 	// DataDir is the data directory; it is created if it does not exist.
 	DataDir string
 	// ElectionTimeout is the time without contact to a majority after which a leader
@@ -47,6 +51,9 @@
 func (s *Settings) setDefaults() {
 	if s.Voters == 0 {
 		s.Voters = len(s.Peers)
+		if s.Tolerance != (Tolerance{}) {
+			s.Voters = s.Tolerance.Voters()
+		}
 	}
 	if s.ElectionTimeout == 0 {
 		s.ElectionTimeout = 500 * time.Millisecond
@@ -66,7 +73,7 @@
 func (s *Settings) coreConfig(diskID []byte, random func(n int64) int64) coreConfig {
 	return coreConfig{
 		id: s.ID, diskID: diskID, peers: s.Peers, voters: s.Voters, tolerance: s.Tolerance,
-		zone: s.Zone, region: s.Region, join: s.Join, electionTimeout: s.ElectionTimeout,
+		zone: s.Zone, region: s.Region, join: s.Join || s.Observer, observer: s.Observer, electionTimeout: s.ElectionTimeout,
 		heartbeat: s.Heartbeat, chunkBytes: defaultChunkBytes, random: random,
 	}
 }
@@ -78,7 +85,7 @@
 	} else if addr != s.Listen {
 		errs = append(errs, fmt.Errorf("peers list address %v for member %q, which listens on %v", addr, s.ID, s.Listen))
 	}
-	if s.DataDir == "" {
+	if s.DataDir == "" && !s.Observer {
 		errs = append(errs, errors.New("data directory is not set"))
 	}
 	if s.Heartbeat <= 0 || s.Heartbeat*3 > s.ElectionTimeout {
--- a/lib/quorum/tolerance.go
+++ b/lib/quorum/tolerance.go
@@ -13,10 +13,13 @@
 	Members, Zones, Regions int
 }
 
-// Voters returns the number of voters that the tolerance requires: the voters that are
-// left after the loss must be a majority.
+// minVoters lets a group keep a majority while one of its members restarts.
+const minVoters = 3
+
+// Voters returns the number of voters that the tolerance requires, at least minVoters:
+// the voters that are left after the loss must be a majority.
 func (t Tolerance) Voters() int {
-	return 2*max(t.Members, t.Zones, t.Regions, 0) + 1
+	return max(minVoters, 2*max(t.Members, t.Zones, t.Regions)+1)
 }
 
 // bears reports whether the voters of m remain a majority after any loss that t states.
--- a/lib/quorum/tolerance_sim_test.go
+++ b/lib/quorum/tolerance_sim_test.go
@@ -49,13 +49,13 @@
 	layout layout
 	seeds  []string
 	zones  map[string]string
-	// joins holds the members that were started with an empty disk after the first start.
-	joins map[string]bool
+	// started is set after the first start of the deployment, in which alone a group is formed.
+	started bool
 }
 
 func newTolerantSim(l layout, randN func(n int) int) *tolerantSim {
 	t := &tolerantSim{
-		sim: newSim(0, noBug, randN), layout: l, zones: make(map[string]string), joins: make(map[string]bool),
+		sim: newSim(0, noBug, randN), layout: l, zones: make(map[string]string),
 	}
 	t.configure = t.settings
 	for i, zone := range l.zones {
@@ -63,17 +63,31 @@
 		t.nodes = append(t.nodes, &simNode{id: id, disk: simDisk{id: t.newDisk()}})
 		t.zones[id] = zone
 	}
-	for len(t.seeds) < 3 {
-		if id := t.nodes[randN(len(t.nodes))].id; !slices.Contains(t.seeds, id) {
-			t.seeds = append(t.seeds, id)
-		}
-	}
+	t.drawSeeds()
 	for _, n := range t.nodes {
 		t.start(n)
 	}
+	t.started = true
 	return t
 }
 
+// drawSeeds draws the three live members that the settings of members started from now on
+// name.
+func (t *tolerantSim) drawSeeds() {
+	live := t.live()
+	t.seeds = nil
+	for range min(3, len(live)) {
+		i := t.randN(len(live))
+		t.seeds = append(t.seeds, live[i].id)
+		live = slices.Delete(live, i, i+1)
+	}
+}
+
+// live returns the members that have not been stopped.
+func (t *tolerantSim) live() []*simNode {
+	return slices.DeleteFunc(slices.Clone(t.nodes), func(n *simNode) bool { return n.partitioned })
+}
+
 // settings limits the peers of a member to what it is told: itself and the seeds.
 func (t *tolerantSim) settings(n *simNode, s *Settings) {
 	peers := map[string]netip.AddrPort{n.id: s.Peers[n.id]}
@@ -81,13 +95,12 @@
 		peers[id] = s.Peers[id]
 	}
 	s.Peers, s.Tolerance, s.Zone, s.Region = peers, t.layout.tolerance, t.zones[n.id], "r"
-	s.Join = t.joins[n.id] || !slices.Contains(t.seeds, n.id)
+	s.Join = t.started || !slices.Contains(t.seeds, n.id)
 }
 
 // wipe restarts a member with an empty disk.
 func (t *tolerantSim) wipe(n *simNode) {
 	n.disk = simDisk{id: t.newDisk()}
-	t.joins[n.id] = true
 	t.start(n)
 }
 
@@ -109,14 +122,14 @@
 		t.zones[id] = t.zones[n.id]
 		added := &simNode{id: id, disk: simDisk{id: t.newDisk()}}
 		t.nodes = append(t.nodes, added)
-		t.joins[id] = true
+		t.drawSeeds()
 		t.start(added)
 	}
 }
 
 // drawLoss returns members that the group must bear to lose at the same time.
 func (t *tolerantSim) drawLoss() (out []*simNode) {
-	live := slices.DeleteFunc(slices.Clone(t.nodes), func(n *simNode) bool { return n.partitioned })
+	live := t.live()
 	if z := t.layout.tolerance.Zones; z > 0 && t.randN(2) == 0 {
 		var zones []string
 		for len(zones) < z {
@@ -157,13 +170,16 @@
 	return nil
 }
 
-// acknowledge proposes a command until the leader has committed it, and returns it.
+// acknowledge proposes a command until the leader has committed it and waits for no further
+// voters, and returns it.
 func (t *tolerantSim) acknowledge() (command string, ok bool) {
 	for range recoverRounds {
 		if n := t.liveLeader(); n != nil {
 			t.propose(n)
 			t.runWithoutFaults(1)
-			if k := len(t.commands); k > 0 && strings.HasSuffix(t.commands[k-1].text, fmt.Sprintf(":%d", t.proposed)) {
+			k := len(t.commands)
+			committed := k > 0 && strings.HasSuffix(t.commands[k-1].text, fmt.Sprintf(":%d", t.proposed))
+			if committed && t.liveLeader() == n && !n.core.growing() {
 				return t.commands[k-1].text, true
 			}
 		}
@@ -190,6 +206,81 @@
 	return n != nil && slices.Contains(n.state, command)
 }
 
+// voters returns the ids of the voters as known to the leader.
+func (t *tolerantSim) voters() []string {
+	n := t.liveLeader()
+	if n == nil {
+		return nil
+	}
+	ids, _ := memberIDs(n.core.members.current())
+	return ids
+}
+
+// Guards against an acknowledgement by the three members that form the group, of what the
+// stated loss can still take before the other voters are added.
+func TestAcknowledgementWaitsForVoters(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		s := newTolerantSim(layouts[r.IntN(len(layouts))], r.IntN)
+		command, ok := s.acknowledge()
+		assert.NilError(t, s.err)
+		assert.Assert(t, ok, "seed %d: no command is acknowledged", seed)
+		s.loseDisks(s.drawLoss())
+		s.runWithoutFaults(recoverRounds)
+		assert.NilError(t, s.err)
+		assert.Assert(t, s.holds(command), "seed %d, %s: %q is lost or nobody leads\n%s", seed, s.layout.name, command, dump(s.sim))
+	}
+}
+
+// Guards against a group that never acknowledges, or has an even number of voters, because
+// fewer members have a disk than the stated loss requires.
+func TestFewerMembersThanVoters(t *testing.T) {
+	for _, l := range []layout{
+		{"two of three", strings.Fields("a b c"), Tolerance{Members: 2}},
+		{"two of four", strings.Fields("a b c c"), Tolerance{Members: 2}},
+		{"three of six", strings.Fields("a a b b c c"), Tolerance{Members: 3}},
+	} {
+		s := newTolerantSim(l, rand.New(rand.NewPCG(1, 5)).IntN)
+		_, ok := s.acknowledge()
+		assert.Assert(t, ok, "%s: no command is acknowledged", l.name)
+		s.runWithoutFaults(catchUpRounds)
+		assert.NilError(t, s.err)
+		assert.Equal(t, len(s.voters()), len(l.zones)-1+len(l.zones)%2, l.name)
+	}
+}
+
+// Guards against a group of three voters of an earlier version, whose membership names no
+// zones, that does not grow after an upgrade, and against one that keeps voters which the
+// settings no longer ask for.
+func TestSettingsChangeTheVoters(t *testing.T) {
+	l := layout{"upgraded", strings.Fields("a b c a b c"), Tolerance{}}
+	s := newTolerantSim(l, rand.New(rand.NewPCG(2, 5)).IntN)
+	s.configure = func(n *simNode, settings *Settings) {
+		s.settings(n, settings)
+		settings.Zone, settings.Region, settings.Voters = "", "", 3
+	}
+	s.started = false
+	s.loseDisks(s.nodes)
+	s.started = true
+	command, ok := s.acknowledge()
+	assert.Assert(t, ok)
+	assert.Equal(t, len(s.voters()), 3)
+
+	s.configure = s.settings
+	for _, want := range []struct {
+		tolerance Tolerance
+		voters    int
+	}{{Tolerance{Members: 2, Zones: 1}, 5}, {Tolerance{Members: 1, Zones: 1}, 3}} {
+		s.layout.tolerance = want.tolerance
+		s.loseDisks(nil)
+		s.runWithoutFaults(catchUpRounds)
+		assert.NilError(t, s.err)
+		assert.Equal(t, len(s.voters()), want.voters)
+		assert.Assert(t, want.tolerance.bears(s.liveLeader().core.members.current()), "%s", dump(s.sim))
+		assert.Assert(t, s.holds(command))
+	}
+}
+
 // Guards against an acknowledged command that is lost, or a group that never has a leader
 // again, because the disks that the group must bear to lose were lost right after the
 // acknowledgement while all other members lost power. Three seeds form the group; before
--- a/lib/quorum/tolerance_test.go
+++ b/lib/quorum/tolerance_test.go
@@ -42,5 +42,6 @@
 		assert.Equal(t, x.tolerance.bears(x.voters), x.bears, x.name)
 	}
 	assert.Equal(t, Tolerance{Members: 1, Zones: 2, Regions: 0}.Voters(), 5)
-	assert.Equal(t, Tolerance{}.Voters(), 1)
+	assert.Equal(t, Tolerance{Members: 2}.Voters(), 5)
+	assert.Equal(t, Tolerance{}.Voters(), 3)
 }
