Answer 503, not 404, once a newer configuration may be in effect

The 404s came 10 to 19 s after the last contact with control, one from version 15 of 18.

Cause: a refusal for good (404, 413, 431) rested on a configuration of any age. Class: a cached fact is stated as certain after what kept it current has stopped. The age was also counted from the answer of control, by the time of day.

Requests that the held configuration allows are served on. The same in bulrush-entry, whose 404s for models, adapters, services and routes had the same cause.

--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -26,6 +26,8 @@
 	// maxContactAge is how long the instance stays ready after the last reply from
 	// control. It continues to serve with its last known state afterwards.
 	maxContactAge = 8 * time.Second
+	// defaultMaxConfigAge applies if WithMaxConfigAge is not used.
+	defaultMaxConfigAge = 2 * time.Second
 	// connCleanupInterval is the interval at which stale idle connections to targets are
 	// closed.
 	connCleanupInterval = time.Second
@@ -67,8 +69,10 @@
 
 	// index is the active configuration; nil until the first one is received.
 	index atomic.Pointer[site.Index]
-	// lastContact is the time of the last reply from control, in Unix nanoseconds.
-	lastContact atomic.Int64
+	// contact is the last contact with control, which limits the age of index and fleet.
+	contact link.Contact
+	// maxConfigAge is the age from which on a newer configuration may be in effect.
+	maxConfigAge time.Duration
 	// reportInterval is the report interval requested by control, in nanoseconds.
 	reportInterval atomic.Int64
 	// warm is true if the control leader has had time to receive an announcement from
@@ -122,6 +126,10 @@
 // WithRetryBudget sets the budget that all entry instances share.
 func WithRetryBudget(b RetryBudget) Option { return func(g *Gateway) { g.retryBudget = b } }
 
+// WithMaxConfigAge sets the time after the acknowledgement of a configuration by which it
+// must be in effect everywhere.
+func WithMaxConfigAge(d time.Duration) Option { return func(g *Gateway) { g.maxConfigAge = d } }
+
 // WithRelay sets the pool of connections to targets.
 func WithRelay(p *relay.Pool) Option { return func(g *Gateway) { g.targetConns = p } }
 
@@ -136,6 +144,7 @@
 		name: p.Common.Name, zone: p.Common.Zone, log: p.Log, metrics: newMetrics(p.Scope),
 		headers: headers, describePrompt: describe, decodeConfig: decode, seeds: seeds,
 		retryBudget:  RetryBudget{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
+		maxConfigAge: defaultMaxConfigAge,
 		controlConns: link.NewPool(), reportNow: make(chan struct{}, 1), firstConfig: make(chan struct{}), fleet: newFleetTable(),
 		tableChanged: make(chan struct{}), usedAdapters: make(map[string]map[string]bool),
 	}
@@ -194,7 +203,7 @@
 		return "draining"
 	case g.index.Load() == nil:
 		return "no configuration yet"
-	case time.Since(time.Unix(0, g.lastContact.Load())) > maxContactAge:
+	case g.contact.Age() > maxContactAge:
 		return "no contact to control"
 	}
 	return ""
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -25,6 +25,10 @@
 	// instance is shutting down. It is short, since another instance can serve them at
 	// once.
 	drainRetryAfter = 10 * time.Millisecond
+	// staleRetryAfter is the Retry-After of a request that only a newer configuration may
+	// allow. Other instances may have contact to control, and this one has it again within
+	// an election.
+	staleRetryAfter = 500 * time.Millisecond
 	// configTimeout is how long a request waits for the first configuration after
 	// startup.
 	configTimeout = 1500 * time.Millisecond
@@ -142,13 +146,13 @@
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	c.route = c.index.Route(c.r.Host, path)
 	if c.route == nil {
-		return &failure{status: http.StatusNotFound, reason: "no route"}
+		return c.refuseByConfig(http.StatusNotFound, "no route")
 	}
 	if c.id == "" {
 		return &failure{status: http.StatusBadRequest, reason: "no request id"}
 	}
 	if limit := c.index.Config.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
-		return &failure{status: http.StatusRequestHeaderFieldsTooLarge, reason: fmt.Sprintf("header exceeds %d bytes", limit)}
+		return c.refuseByConfig(http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("header exceeds %d bytes", limit))
 	}
 	if c.route.Kind == site.Stream && c.gateway.draining.Load() {
 		// A stream may take longer than the time until this process is killed.
@@ -164,6 +168,17 @@
 	return c.prepareOutbound()
 }
 
+// refuseByConfig returns a refusal for good, which the configuration demands. If a newer
+// configuration may be in effect, it only says that this instance cannot tell.
+func (c *call) refuseByConfig(status int, reason string) *failure {
+	if c.gateway.contact.Age() <= c.gateway.maxConfigAge {
+		return &failure{status: status, reason: reason}
+	}
+	return &failure{
+		status: http.StatusServiceUnavailable, reason: reason + " in a configuration that may be outdated", retryAfter: staleRetryAfter,
+	}
+}
+
 // headerBytes returns the size of a request's header on the wire.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n ") + len("Host: \r\n") + len(r.Host)
@@ -211,7 +226,7 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: fmt.Sprintf("body exceeds %d bytes", limit)}
+		return c.refuseByConfig(http.StatusRequestEntityTooLarge, fmt.Sprintf("body exceeds %d bytes", limit))
 	case err != nil:
 		return &failure{status: http.StatusBadRequest, reason: fmt.Sprintf("read body: %v", err)}
 	}
@@ -325,7 +340,7 @@
 	if c.route != nil {
 		e = e.Str("route", c.route.Name)
 	} else {
-		e = e.Dur("sinceControl", time.Since(time.Unix(0, c.gateway.lastContact.Load())))
+		e = e.Dur("sinceControl", c.gateway.contact.Age())
 	}
 	if c.prompt.Model != "" {
 		e = e.Str("model", c.prompt.Model).Str("adapter", c.prompt.Adapter).Int("miss", d.prefillTokens)
--- a/entry/gate/metric.go
+++ b/entry/gate/metric.go
@@ -41,7 +41,7 @@
 func (m *metrics) recordFailedAttempt(res result)       { m.attempts(res.String()).Inc(1) }
 func (m *metrics) recordFirstOutput(took time.Duration) { m.firstOutputLatency.RecordDuration(took) }
 
-func (m *metrics) recordLostReport(contact time.Time) {
+func (m *metrics) recordLostReport(contactAge time.Duration) {
 	m.reportsLost.Inc(1)
-	m.contactAge.Update(time.Since(contact).Seconds())
+	m.contactAge.Update(contactAge.Seconds())
 }
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -69,7 +69,7 @@
 
 // report sends this instance's observations to control and applies the reply.
 func (g *Gateway) report(ctx context.Context) error {
-	req := g.buildReport()
+	req, sent := g.buildReport(), g.contact.Now()
 	var reply *wire.FleetReply
 	err := g.callControl(ctx, reportTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (err error) {
 		reply, err = c.Report(ctx, req)
@@ -77,16 +77,17 @@
 	})
 	if err != nil {
 		g.requeueReport(req)
-		g.metrics.recordLostReport(time.Unix(0, g.lastContact.Load()))
+		g.metrics.recordLostReport(g.contact.Age())
 		return fmt.Errorf("report to control: %w", err)
 	}
 	now := time.Now()
-	if before := g.lastContact.Swap(now.UnixNano()); now.Sub(time.Unix(0, before)) > maxContactAge {
+	if g.contact.Age() > maxContactAge {
 		g.log.Info().Str("event", "controlReached").Uint64("term", reply.GetTerm()).Msg("")
 	}
 	g.warm.Store(reply.GetWarm())
 	g.reportInterval.Store(int64(reply.GetReportMillis()) * int64(time.Millisecond))
 	g.applyDocument(reply.GetDocument())
+	g.contact.Answered(sent)
 	g.applyTable(now, reply)
 	return nil
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -64,7 +64,13 @@
 	if index == nil {
 		return nil, reject(http.StatusServiceUnavailable, "notReady", "there is no configuration yet").withRetryAfter(defaultRetryAfter)
 	}
-	return parse(w, r, index)
+	c, f := parse(w, r, index)
+	if f != nil && f.status == http.StatusNotFound && !s.controlReachable() {
+		// A newer configuration may have what this one lacks.
+		return nil, reject(http.StatusServiceUnavailable, "notReady", "%s in a configuration that may be outdated", f.message).
+			withRetryAfter(defaultRetryAfter)
+	}
+	return c, f
 }
 
 // parseGenerate parses and validates a request for a model.
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -398,8 +398,11 @@
 		assert.Equal(t, sy.version, x.version, "step %d", i)
 		assert.Equal(t, names(), x.names, "step %d", i)
 	}
+	clock := time.Duration(0)
+	s.contact.Clock = func() time.Duration { return clock }
+	s.contact.Answered(clock)
 	assert.Equal(t, s.notReadyReason(), "")
-	s.lastContact.Store(now.Add(-set.Entry.ReadyWithout).UnixNano())
+	clock += set.Entry.ReadyWithout + time.Millisecond
 	assert.Equal(t, s.notReadyReason(), "no contact to control")
 	assert.NilError(t, s.Close())
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -40,8 +40,8 @@
 
 	// config is nil until the first configuration has arrived.
 	config atomic.Pointer[configIndex]
-	// lastContact is the time of the last Sync reply of control, in Unix nanoseconds.
-	lastContact atomic.Int64
+	// contact is the last contact with control, which limits the age of config.
+	contact link.Contact
 
 	draining atomic.Bool
 	// activeRequests counts the requests in progress. lastRequest is the arrival time
@@ -109,7 +109,7 @@
 		return "draining"
 	case s.config.Load() == nil:
 		return "no configuration yet"
-	case time.Since(time.Unix(0, s.lastContact.Load())) > s.cfg.ReadyWithout:
+	case s.contact.Age() > s.cfg.ReadyWithout:
 		return "no contact to control"
 	}
 	return ""
@@ -128,7 +128,7 @@
 
 // controlReachable reports whether control has recently replied to a Sync.
 func (s *server) controlReachable() bool {
-	return time.Since(time.Unix(0, s.lastContact.Load())) < controlContactTimeout
+	return s.contact.Age() < controlContactTimeout
 }
 
 // configVersion returns the version of the configuration in use, or 0 if there is none
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -77,7 +77,7 @@
 func (sy *syncer) syncOnce(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	now := time.Now()
+	now, sent := time.Now(), sy.s.contact.Now()
 	demand := sy.s.routing.demand(now.Sub(sy.lastDemandReport))
 	sy.lastDemandReport = now
 	req := sy.newRequest(maxSyncWait)
@@ -97,12 +97,12 @@
 		return err
 	}
 	sy.apply(reply, time.Now())
+	sy.s.contact.Answered(sent)
 	return nil
 }
 
 // apply applies a reply to the local state.
 func (sy *syncer) apply(reply *wire.SyncReply, now time.Time) {
-	sy.s.lastContact.Store(now.UnixNano())
 	sy.directoryIncomplete = !reply.GetDirectoryWarm()
 	if c := reply.GetConfig(); c != nil && c.GetVersion() > sy.s.configVersion() {
 		sy.s.config.Store(newConfigIndex(c))
