Send configurations to entry instances compressed

Cause: a configuration of 1,450 routes went to 24 entry instances as it is, once for each of the versions that came every 0.7 s. It fills their 10 Mbit/s links and the leader's: reports ran into their timeout of 500 ms, and one instance had no answer for 3 s. Class: a message that grows with the deployment and is sent to everyone.

Change: the document in a reply is compressed, once for each version; instances say that they read it.

Evidence: TestLargeDocumentIsSentCompressed (below a tenth of the size).

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -95,6 +95,10 @@
 	// index is the decoded document with the version indexVersion.
 	index        *site.Index
 	indexVersion uint64
+	// packed is the compressed document with the version packedVersion. A document of many
+	// routes, sent to every entry instance, would otherwise fill the links.
+	packed        []byte
+	packedVersion uint64
 	// controlAddrs holds the addresses of the control instances as of the last tick.
 	controlAddrs []string
 }
@@ -370,11 +374,7 @@
 	if _, version := f.table.Version(); version > reply.GetTableVersion() {
 		reply.ReportMillis = uint32(partialTablePeriod.Milliseconds())
 	}
-	f.svc.machineMu.RLock()
-	if doc := f.svc.machine.Document(); doc.GetVersion() > req.GetDocumentVersion() {
-		reply.Document = doc
-	}
-	f.svc.machineMu.RUnlock()
+	f.addDocument(req, reply)
 	reply.Control = f.controlAddrs
 	reply.Suspects = f.recordLostRequests(now, req)
 	f.prompts.add(req.GetName(), req.GetCached())
@@ -386,6 +386,31 @@
 	return reply, term, nil
 }
 
+// addDocument adds the document to the reply if the instance holds an older one. The caller
+// holds mu.
+func (f *Fleet) addDocument(req *wire.FleetRequest, reply *wire.FleetReply) {
+	f.svc.machineMu.RLock()
+	doc := f.svc.machine.Document()
+	f.svc.machineMu.RUnlock()
+	if doc.GetVersion() <= req.GetDocumentVersion() {
+		return
+	}
+	if !req.GetAcceptPacked() {
+		reply.Document = doc
+		return
+	}
+	if f.packedVersion != doc.GetVersion() {
+		packed, err := wire.PackDocument(doc)
+		if err != nil {
+			f.log.Error().Str("event", "documentNotPacked").Uint64("version", doc.GetVersion()).Err(err).Msg("")
+			reply.Document = doc
+			return
+		}
+		f.packed, f.packedVersion = packed, doc.GetVersion()
+	}
+	reply.PackedDocument = f.packed
+}
+
 // recordLostRequests records the requests whose targets were lost while they ran them,
 // and returns the requests that are suspect or blocked. The caller holds mu.
 func (f *Fleet) recordLostRequests(now time.Time, req *wire.FleetRequest) []*wire.Suspect {
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -542,3 +543,24 @@
 	loop(func(uint64) { f.tick(time.Now()) })
 	wg.Wait()
 }
+
+// Guards against a configuration of many routes that reaches entry instances late because
+// it fills their links: it is sent compressed, and in full to instances that cannot read that.
+func TestLargeDocumentIsSentCompressed(t *testing.T) {
+	doc := &wire.Document{Version: 9, Content: []byte(strings.Repeat(`{"Name":"r","Host":"h","PathPrefix":"/a/"},`, 2000))}
+	f := &Fleet{svc: newService("c1", testProcess())}
+	post, err := proto.Marshal(&wire.Command{Body: &wire.Command_Post{Post: doc}})
+	assert.NilError(t, err)
+	f.svc.apply(1, time.Now(), post)
+	for _, accept := range []bool{true, false} {
+		reply := &wire.FleetReply{}
+		f.addDocument(&wire.FleetRequest{AcceptPacked: accept}, reply)
+		assert.Equal(t, proto.Size(reply) < len(doc.GetContent())/10, accept)
+		got, err := wire.UnpackDocument(reply)
+		assert.NilError(t, err)
+		assert.Assert(t, proto.Equal(got, doc))
+	}
+	reply := &wire.FleetReply{}
+	f.addDocument(&wire.FleetRequest{AcceptPacked: true, DocumentVersion: 9}, reply)
+	assert.Equal(t, proto.Size(reply), 0)
+}
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -86,7 +86,11 @@
 	}
 	g.warm.Store(reply.GetWarm())
 	g.reportInterval.Store(int64(reply.GetReportMillis()) * int64(time.Millisecond))
-	g.applyDocument(reply.GetDocument())
+	doc, err := wire.UnpackDocument(reply)
+	if err != nil {
+		return fmt.Errorf("report to control: %w", err)
+	}
+	g.applyDocument(doc)
 	g.contact.Answered(sent)
 	g.applyTable(now, reply)
 	return nil
@@ -94,7 +98,7 @@
 
 func (g *Gateway) buildReport() *wire.FleetRequest {
 	now := time.Now()
-	req := &wire.FleetRequest{Protocol: link.Protocol, Name: g.name, Zone: g.zone}
+	req := &wire.FleetRequest{Protocol: link.Protocol, Name: g.name, Zone: g.zone, AcceptPacked: true}
 	if x := g.index.Load(); x != nil {
 		req.DocumentVersion = x.Config.Version
 	}
--- a/lib/wire/pack.go
+++ b/lib/wire/pack.go
@@ -15,12 +15,39 @@
 
 // PackConfig returns the encoded configuration, compressed with DEFLATE.
 func PackConfig(cfg *Config) ([]byte, error) {
-	data, err := proto.Marshal(cfg)
+	return pack(cfg, flate.BestCompression)
+}
+
+// UnpackConfig returns the configuration in a reply, whether compressed or not; nil if
+// there is none.
+func UnpackConfig(r *SyncReply) (*Config, error) {
+	if len(r.GetPackedConfig()) == 0 {
+		return r.GetConfig(), nil
+	}
+	return unpack(r.GetPackedConfig(), &Config{})
+}
+
+// PackDocument returns the encoded document, compressed with DEFLATE.
+func PackDocument(doc *Document) ([]byte, error) {
+	return pack(doc, flate.BestSpeed)
+}
+
+// UnpackDocument returns the document in a reply, whether compressed or not; nil if there
+// is none.
+func UnpackDocument(r *FleetReply) (*Document, error) {
+	if len(r.GetPackedDocument()) == 0 {
+		return r.GetDocument(), nil
+	}
+	return unpack(r.GetPackedDocument(), &Document{})
+}
+
+func pack(m proto.Message, level int) ([]byte, error) {
+	data, err := proto.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode configuration: %w", err)
 	}
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestCompression)
+	w, err := flate.NewWriter(&out, level)
 	if err != nil {
 		return nil, fmt.Errorf("deflate configuration: %w", err)
 	}
@@ -33,23 +60,19 @@
 	return out.Bytes(), nil
 }
 
-// UnpackConfig returns the configuration in a reply, whether compressed or not; nil if
-// there is none.
-func UnpackConfig(r *SyncReply) (*Config, error) {
-	if len(r.GetPackedConfig()) == 0 {
-		return r.GetConfig(), nil
-	}
-	in := flate.NewReader(bytes.NewReader(r.GetPackedConfig()))
+// unpack inflates and decodes data into m, and returns m.
+func unpack[M proto.Message](data []byte, m M) (M, error) {
+	var none M
+	in := flate.NewReader(bytes.NewReader(data))
 	data, err := io.ReadAll(io.LimitReader(in, maxInflatedBytes+1))
 	if err != nil {
-		return nil, fmt.Errorf("inflate configuration: %w", err)
+		return none, fmt.Errorf("inflate configuration: %w", err)
 	}
 	if len(data) > maxInflatedBytes {
-		return nil, fmt.Errorf("inflated configuration exceeds %d bytes", maxInflatedBytes)
+		return none, fmt.Errorf("inflated configuration exceeds %d bytes", maxInflatedBytes)
 	}
-	cfg := &Config{}
-	if err := proto.Unmarshal(data, cfg); err != nil {
-		return nil, fmt.Errorf("decode configuration: %w", err)
+	if err := proto.Unmarshal(data, m); err != nil {
+		return none, fmt.Errorf("decode configuration: %w", err)
 	}
-	return cfg, nil
+	return m, nil
 }
