Block the part of a prompt that crashes targets

Cause: lib/poison knew a request by path, model, adapter and body. Of requests that are all different, none meets its own fingerprint again, so nothing was ever blocked (213 changes of suspects, no refusal).

Change: poison.PartCounter counts the processes that were lost with each part of a request that had had no output; an answer's first output clears its parts for good (ClearedParts at the entry instances, which also correct control). With three processes a part is blocked; parts lost with the same processes are blocked only together, until a request with some of them tells them apart. A process that goes on announcing itself does not count. A blocked request is refused at once, with a reason of its own. requestLost names the parts.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -89,6 +89,8 @@
 	// lostRequests counts, for each request, the targets that were lost while
 	// they ran it.
 	lostRequests poison.LossCounter
+	// lostParts counts the same for each part of a prompt.
+	lostParts poison.PartCounter
 	// doubtful holds the targets that the last run of the planners ignored because
 	// they are probably gone.
 	doubtful map[string]bool
@@ -148,7 +150,7 @@
 	f.planners = make(map[string]*scale.Planner)
 	f.entries = make(map[string]*entryState)
 	f.prompts = promptLog{}
-	f.lostRequests, f.doubtful = poison.LossCounter{}, nil
+	f.lostRequests, f.lostParts, f.doubtful = poison.LossCounter{}, poison.PartCounter{}, nil
 	f.loads = loadTotals{sums: make(map[string]*wire.TargetLoad)}
 	f.table = fleet.NewTable(now, term, f.modelRecords)
 }
@@ -249,7 +251,9 @@
 		return err
 	}
 	f.metrics.announcements.Inc(1)
-	f.lostRequests.RecordAnnouncement(now, poison.Process{Target: a.ID, BornMillis: a.Born.UnixMilli()})
+	process := poison.Process{Target: a.ID, BornMillis: a.Born.UnixMilli()}
+	f.lostRequests.RecordAnnouncement(now, process)
+	f.lostParts.RecordAnnouncement(now, process)
 	before, known := f.table.Lookup(a.ID)
 	if known && before.Born.Before(a.Born) {
 		delete(f.engines, a.ID)
@@ -419,16 +423,30 @@
 			continue
 		}
 		f.table.RecordBrokenRequest(now, l.GetTarget())
-		f.lostRequests.RecordLoss(now, poison.Fingerprint(l.GetFingerprint()), poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
+		process, parts := poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()}, fingerprints(l.GetParts())
+		f.lostRequests.RecordLoss(now, poison.Fingerprint(l.GetFingerprint()), process)
+		f.lostParts.RecordLoss(now, parts, process)
 		f.log.Warn().Str("event", "requestLost").Str("entry", req.GetName()).Str("target", l.GetTarget()).
-			Hex("fingerprint", l.GetFingerprint()).Msg("")
+			Hex("fingerprint", l.GetFingerprint()).Str("parts", fmt.Sprintf("%x", parts)).Msg("")
 	}
 	for _, fp := range req.GetCompleted() {
 		if len(fp) == poison.FingerprintSize {
 			f.lostRequests.RecordCompletion(poison.Fingerprint(fp))
+			f.lostParts.RecordCompletion(poison.Fingerprint(fp))
 		}
 	}
-	return f.lostRequests.Suspects(now)
+	return append(f.lostRequests.Suspects(now), f.lostParts.Suspects(now)...)
+}
+
+// fingerprints returns the valid ones of the given fingerprints.
+func fingerprints(list [][]byte) []poison.Fingerprint {
+	out := make([]poison.Fingerprint, 0, len(list))
+	for _, fp := range list {
+		if len(fp) == poison.FingerprintSize {
+			out = append(out, poison.Fingerprint(fp))
+		}
+	}
+	return out
 }
 
 // removeEntry removes an entry instance and its share of the loads. The caller holds mu.
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -92,7 +92,7 @@
 			c.incompleteAttempts++
 			c.tried[choice.Target.ID] = true
 			c.recordLost(err)
-			if _, suspect := c.verdict(); suspect {
+			if c.isSuspect() {
 				return &failure{status: http.StatusBadGateway, reason: "targets are lost with this request: " + err.Error()}
 			}
 			if !c.route.Repeatable() || c.incompleteAttempts >= max(c.route.MaxAttempts, 1) {
@@ -140,8 +140,8 @@
 // send sends the request to the chosen target and forwards its response.
 func (c *call) send(ctx context.Context, choice steer.Choice) (res result, err error) {
 	t := choice.Target
-	hasOutput := false
-	defer func() { c.recordResult(choice, hasOutput, res, errors.Is(err, relay.ErrSilent)) }()
+	c.hasOutput = false
+	defer func() { c.recordResult(choice, c.hasOutput, res, errors.Is(err, relay.ErrSilent)) }()
 	if choice.NeedsAdapter {
 		if err := c.gateway.fetchAdapter(ctx, t.ID, c.prompt.Model, c.prompt.Adapter); err != nil {
 			return c.resultOrCancelled(ctx, noAdapter), err
@@ -166,12 +166,13 @@
 	c.attempts++
 	// onFirstOutput may be called for each output; only the first call has an effect.
 	onFirstOutput := func() {
-		if hasOutput {
+		if c.hasOutput {
 			return
 		}
-		hasOutput = true
+		c.hasOutput = true
 		c.gateway.mu.Lock()
 		defer c.gateway.mu.Unlock()
+		c.clearParts()
 		now := time.Now()
 		t.AddFirstOutput(now, now.Sub(sentAt), choice.Base, choice.PrefillTokens)
 		if c.record.firstOutput == 0 {
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -44,6 +44,8 @@
 	down    bool
 	// count evaluates the lost requests as the control leader does.
 	count poison.LossCounter
+	// parts does the same for the parts of prompts.
+	parts poison.PartCounter
 }
 
 func (c *fakeControl) Report(_ context.Context, req *wire.FleetRequest) (*wire.FleetReply, error) {
@@ -58,7 +60,17 @@
 	for _, l := range req.GetLost() {
 		c.count.RecordLoss(time.Now(), poison.Fingerprint(l.GetFingerprint()), poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
 	}
-	r.Suspects = c.count.Suspects(time.Now())
+	for _, l := range req.GetLost() {
+		var parts []poison.Fingerprint
+		for _, fp := range l.GetParts() {
+			parts = append(parts, poison.Fingerprint(fp))
+		}
+		c.parts.RecordLoss(time.Now(), parts, poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
+	}
+	for _, fp := range req.GetCompleted() {
+		c.parts.RecordCompletion(poison.Fingerprint(fp))
+	}
+	r.Suspects = append(c.count.Suspects(time.Now()), c.parts.Suspects(time.Now())...)
 	if req.GetDocumentVersion() < c.version {
 		r.Document = &wire.Document{Version: c.version, Content: []byte("x")}
 	}
@@ -150,6 +162,9 @@
 	}
 	describe := func(h http.Header) (r steer.Request, err error) {
 		r.Model, r.Adapter, _ = site.CutAdapter(h.Get("T-Model"))
+		for _, id := range h.Get("T-Parts") {
+			r.Parts = append(r.Parts, steer.Part{ID: uint64(id), Tokens: 10})
+		}
 		return r, nil
 	}
 	decode := func(version uint64, _ []byte) (*site.Config, error) {
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -70,6 +70,8 @@
 	// lastEvent is the id of the last event forwarded; it is valid if hasEvent is true.
 	lastEvent uint64
 	hasEvent  bool
+	// hasOutput is set once the target of the current send has begun to answer.
+	hasOutput bool
 	// record collects the fields of the request's log line.
 	record requestRecord
 }
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
@@ -16,6 +17,10 @@
 	// suspects in one report.
 	maxLost      = 64
 	maxCompleted = 64
+	// maxParts bounds the parts of a prompt that are considered.
+	maxParts = 32
+	// groupBytes is the size of a group of parts in a message.
+	groupBytes = 8
 	// blockedRetryAfter is the Retry-After of a blocked request.
 	blockedRetryAfter = 30 * time.Second
 )
@@ -27,11 +32,17 @@
 	// lost and completed are the entries of the next report.
 	lost      []*wire.LostRequest
 	completed [][]byte
+	// cleared holds the parts of prompts that certainly do not crash targets.
+	cleared poison.ClearedParts
 }
 
+// verdict is the verdict of control on a request or on a part of prompts.
 type verdict struct {
 	blocked bool
 	until   time.Time
+	// group and groupSize are set for a blocked part; see poison.PartCounter.
+	group     uint64
+	groupSize uint32
 }
 
 // apply stores the verdicts from a reply and returns how many are new or changed.
@@ -51,7 +62,14 @@
 			s.verdicts = make(map[poison.Fingerprint]verdict)
 		}
 		fp := poison.Fingerprint(x.GetFingerprint())
-		v := verdict{x.GetVerdict() == wire.Verdict_VERDICT_BLOCKED, time.UnixMilli(x.GetUntilUnixMillis())}
+		if s.cleared.Has(fp) {
+			s.complete(fp) // Control does not know what this instance has seen.
+			continue
+		}
+		v := verdict{blocked: x.GetVerdict() == wire.Verdict_VERDICT_BLOCKED, until: time.UnixMilli(x.GetUntilUnixMillis())}
+		if g := x.GetGroup(); len(g) == groupBytes {
+			v.group, v.groupSize = binary.BigEndian.Uint64(g), x.GetGroupSize()
+		}
 		if old, ok := s.verdicts[fp]; !ok || old.blocked != v.blocked {
 			changed++
 		}
@@ -60,12 +78,66 @@
 	return changed
 }
 
+// complete clears a fingerprint and reports that to control.
+func (s *suspects) complete(fp poison.Fingerprint) {
+	delete(s.verdicts, fp)
+	if len(s.completed) < maxCompleted {
+		s.completed = append(s.completed, fp[:])
+	}
+}
+
 // fingerprint returns the fingerprint of the request, which is equal for requests that
 // a target processes in the same way.
 func (c *call) fingerprint() poison.Fingerprint {
 	return poison.FingerprintOf(c.r.Host+" "+c.r.Method+" "+c.r.RequestURI, c.prompt.Model+"/"+c.prompt.Adapter, c.outbound.Body)
 }
 
+// parts returns the fingerprints of the parts of the prompt that may crash targets: the last
+// part belongs to the request or its session alone.
+func (c *call) parts() []poison.Fingerprint {
+	n := min(max(len(c.prompt.Parts)-1, 0), maxParts)
+	out := make([]poison.Fingerprint, n)
+	for i := range out {
+		out[i] = poison.PartFingerprint(c.service.Name, c.prompt.Parts[i].ID)
+	}
+	return out
+}
+
+// partsVerdict returns the verdict of control on the parts of the prompt; ok is false if
+// no part is a suspect.
+func (c *call) partsVerdict() (v verdict, ok bool) {
+	c.gateway.mu.Lock()
+	defer c.gateway.mu.Unlock()
+	s := &c.gateway.suspects
+	if len(s.verdicts) == 0 {
+		return verdict{}, false
+	}
+	var blocked poison.BlockedParts
+	for _, fp := range c.parts() {
+		part, found := s.verdicts[fp]
+		if !found || time.Now().After(part.until) {
+			continue
+		}
+		ok, v.until = true, part.until
+		if part.blocked && blocked.Add(part.group, part.groupSize) {
+			v.blocked = true
+		}
+	}
+	return v, ok
+}
+
+// clearParts records that a target has begun to answer, so that no part of the prompt
+// crashes targets. The caller holds mu.
+func (c *call) clearParts() {
+	s := &c.gateway.suspects
+	for _, fp := range c.parts() {
+		s.cleared.Add(fp)
+		if _, ok := s.verdicts[fp]; ok {
+			s.complete(fp)
+		}
+	}
+}
+
 // verdict returns the verdict of control on the request; ok is false if there is no
 // valid one.
 func (c *call) verdict() (v verdict, ok bool) {
@@ -85,13 +157,23 @@
 // checkBlocked returns a failure if control has blocked the request because several
 // target processes in a row were lost while running it.
 func (c *call) checkBlocked() *failure {
-	v, ok := c.verdict()
-	if !ok || !v.blocked {
-		return nil
+	reason := ""
+	if v, ok := c.partsVerdict(); ok && v.blocked {
+		reason = "blocked: targets were lost with a part of this prompt"
+	} else if v, ok := c.verdict(); ok && v.blocked {
+		reason = "blocked: targets were lost with this request"
 	}
-	return &failure{
-		status: http.StatusServiceUnavailable, reason: "blocked: targets were lost with this request", retryAfter: blockedRetryAfter,
+	if reason == "" {
+		return nil
 	}
+	return &failure{status: http.StatusServiceUnavailable, reason: reason, retryAfter: blockedRetryAfter}
+}
+
+// isSuspect reports whether the request, or a part of its prompt, is a suspect.
+func (c *call) isSuspect() bool {
+	_, request := c.verdict()
+	_, part := c.partsVerdict()
+	return request || part
 }
 
 // recordLost reports the request as lost if err looks like a crash of the target process.
@@ -104,11 +186,19 @@
 	fp := c.fingerprint()
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
-	if len(c.gateway.suspects.lost) < maxLost {
-		c.gateway.suspects.lost = append(c.gateway.suspects.lost, &wire.LostRequest{
-			Fingerprint: fp[:], Target: c.dest.ID, BornMillis: c.dest.startedAt.UnixMilli(),
-		})
+	if len(c.gateway.suspects.lost) >= maxLost {
+		return
 	}
+	lost := &wire.LostRequest{Fingerprint: fp[:], Target: c.dest.ID, BornMillis: c.dest.startedAt.UnixMilli()}
+	if !c.hasOutput {
+		for _, part := range c.parts() {
+			if !c.gateway.suspects.cleared.Has(part) {
+				lost.Parts = append(lost.Parts, part[:])
+			}
+		}
+	}
+	c.gateway.suspects.lost = append(c.gateway.suspects.lost, lost)
+	c.gateway.triggerReport()
 }
 
 // recordCompleted clears the verdict on a suspect that a target has completed, and
@@ -120,8 +210,5 @@
 	fp := c.fingerprint()
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
-	delete(c.gateway.suspects.verdicts, fp)
-	if len(c.gateway.suspects.completed) < maxCompleted {
-		c.gateway.suspects.completed = append(c.gateway.suspects.completed, fp[:])
-	}
+	c.gateway.suspects.complete(fp)
 }
