Keep the parts that crash targets over a change of leader, and let operators lift them

A new leader counted from zero: after a kill of the leader, or of all processes, it needed three further lost replicas to block the same part again, and entry instances kept verdicts for ten minutes that another instance had cleared.

Change: the losses (at most 256 parts) are a replicated record, written when they change and read at the start of a term; entry instances take the leader's list of parts as it is. bulrushpath status lists them, bulrushpath clear lifts one.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -166,6 +166,7 @@
 	if term > f.term {
 		f.reset(time.Now(), term)
 		f.restoreTargets(time.Now())
+		f.restoreParts()
 	}
 	return term, nil
 }
@@ -415,40 +416,6 @@
 	reply.PackedDocument = f.packed
 }
 
-// recordLostRequests records the requests whose targets were lost while they ran them,
-// and returns the requests that are suspect or blocked. The caller holds mu.
-func (f *Fleet) recordLostRequests(now time.Time, req *wire.FleetRequest) []*wire.Suspect {
-	for _, l := range req.GetLost() {
-		if len(l.GetFingerprint()) != poison.FingerprintSize {
-			continue
-		}
-		f.table.RecordBrokenRequest(now, l.GetTarget())
-		process, parts := poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()}, fingerprints(l.GetParts())
-		f.lostRequests.RecordLoss(now, poison.Fingerprint(l.GetFingerprint()), process)
-		f.lostParts.RecordLoss(now, parts, process)
-		f.log.Warn().Str("event", "requestLost").Str("entry", req.GetName()).Str("target", l.GetTarget()).
-			Hex("fingerprint", l.GetFingerprint()).Str("parts", fmt.Sprintf("%x", parts)).Msg("")
-	}
-	for _, fp := range req.GetCompleted() {
-		if len(fp) == poison.FingerprintSize {
-			f.lostRequests.RecordCompletion(poison.Fingerprint(fp))
-			f.lostParts.RecordCompletion(poison.Fingerprint(fp))
-		}
-	}
-	return append(f.lostRequests.Suspects(now), f.lostParts.Suspects(now)...)
-}
-
-// fingerprints returns the valid ones of the given fingerprints.
-func fingerprints(list [][]byte) []poison.Fingerprint {
-	out := make([]poison.Fingerprint, 0, len(list))
-	for _, fp := range list {
-		if len(fp) == poison.FingerprintSize {
-			out = append(out, poison.Fingerprint(fp))
-		}
-	}
-	return out
-}
-
 // removeEntry removes an entry instance and its share of the loads. The caller holds mu.
 func (f *Fleet) removeEntry(name string) {
 	if e := f.entries[name]; e != nil {
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -564,3 +564,38 @@
 	f.addDocument(&wire.FleetRequest{AcceptPacked: true, DocumentVersion: 9}, reply)
 	assert.Equal(t, proto.Size(reply), 0)
 }
+
+// Guards against a new leader that does not know the parts of prompts with which the previous
+// one has lost targets, and against a verdict that an operator cannot lift.
+func TestLostPartsOutliveTheLeader(t *testing.T) {
+	p := testProcess()
+	svc := newService("c1", p)
+	svc.group = singleInstance(svc)
+	term := uint64(1)
+	svc.group.Leading = func() (uint64, bool) { return term, true }
+	f := newFleet(svc, p.Log, p.Scope, "c1", &options{})
+	svc.fleet = f
+	t.Cleanup(func() { _ = f.Close() })
+	fp := poison.PartFingerprint("models", 7)
+	request := poison.Fingerprint{1}
+	for i := range 3 {
+		_, _, err := f.report(time.Now(), &wire.FleetRequest{Name: "e", Lost: []*wire.LostRequest{{
+			Fingerprint: request[:], Target: fmt.Sprint("t", i), BornMillis: 1, Parts: [][]byte{fp[:]},
+		}}})
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, f.saveParts(t.Context()))
+	term = 2
+	reply, _, err := f.report(time.Now(), &wire.FleetRequest{Name: "e"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.GetSuspects()), 1)
+	assert.DeepEqual(t, reply.GetSuspects()[0].GetFingerprint(), fp[:])
+	assert.Equal(t, reply.GetSuspects()[0].GetVerdict(), wire.Verdict_VERDICT_BLOCKED)
+
+	lifted, err := svc.Clear(t.Context(), &wire.ClearRequest{Protocol: link.Protocol, Fingerprint: fp[:]})
+	assert.NilError(t, err)
+	assert.Assert(t, lifted.GetKnown())
+	reply, _, err = f.report(time.Now(), &wire.FleetRequest{Name: "e"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.GetSuspects()), 0)
+}
--- a/control/run.go
+++ b/control/run.go
@@ -37,11 +37,13 @@
 	if o.fleet {
 		f := newFleet(svc, p.Log, p.Scope, p.Common.Name, &o)
 		defer func() { _ = f.Close() }()
+		svc.fleet = f
 		stopFleet = f.stop
 		tasks = append(tasks, daemon.Task{Name: "planFleet", Period: fleetTickInterval, Run: func(context.Context) error {
 			f.tick(time.Now())
 			return nil
 		}})
+		tasks = append(tasks, daemon.Task{Name: "saveParts", Period: partsPeriod, Run: f.saveParts})
 		tasks = append(tasks, daemon.Task{Name: "listTargets", Period: rosterPeriod, Run: func(ctx context.Context) error {
 			return f.updateRoster(ctx, "")
 		}})
--- a/control/service.go
+++ b/control/service.go
@@ -32,6 +32,8 @@
 	tracer  trace.Tracer
 	metrics metrics
 	group   *group
+	// fleet is nil unless targets announce themselves to this instance.
+	fleet *Fleet
 
 	// maxWait limits the duration of a long poll.
 	maxWait time.Duration
--- a/control/status.go
+++ b/control/status.go
@@ -33,6 +33,9 @@
 	reply.Suspects = s.machine.Suspects()
 	reply.Claims = uint64(s.machine.Claims())
 	s.machineMu.RUnlock()
+	if s.fleet != nil {
+		reply.Suspects = append(reply.Suspects, s.fleet.lostSuspects(time.Now())...)
+	}
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -75,7 +75,11 @@
 	}
 	_ = w.Flush()
 	for _, s := range st.Suspects {
-		fmt.Fprintf(out, "\nrequest %x: %s until %s", s.Fingerprint, wire.Label(s.Verdict),
+		kind := "request"
+		if s.Part {
+			kind = "part of prompts"
+		}
+		fmt.Fprintf(out, "\n%s %x: %s until %s", kind, s.Fingerprint, wire.Label(s.Verdict),
 			time.UnixMilli(s.UntilUnixMillis).UTC().Format(time.RFC3339))
 	}
 }
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -29,6 +29,9 @@
 type suspects struct {
 	// verdicts holds the verdicts of the current and of earlier control leaders.
 	verdicts map[poison.Fingerprint]verdict
+	// parts holds the verdicts of the current control leader on parts of prompts. Each
+	// leader knows those of the previous ones.
+	parts map[poison.Fingerprint]verdict
 	// lost and completed are the entries of the next report.
 	lost      []*wire.LostRequest
 	completed [][]byte
@@ -54,7 +57,13 @@
 			delete(s.verdicts, fp)
 		}
 	}
+	before := s.parts
+	s.parts = nil
 	for _, x := range list {
+		if x.GetPart() {
+			changed += s.applyPart(before, x)
+			continue
+		}
 		if len(x.GetFingerprint()) != poison.FingerprintSize {
 			continue
 		}
@@ -62,14 +71,7 @@
 			s.verdicts = make(map[poison.Fingerprint]verdict)
 		}
 		fp := poison.Fingerprint(x.GetFingerprint())
-		if s.cleared.Has(fp) {
-			s.complete(fp) // Control does not know what this instance has seen.
-			continue
-		}
-		v := verdict{blocked: x.GetVerdict() == wire.Verdict_VERDICT_BLOCKED, until: time.UnixMilli(x.GetUntilUnixMillis())}
-		if g := x.GetGroup(); len(g) == groupBytes {
-			v.group, v.groupSize = binary.BigEndian.Uint64(g), x.GetGroupSize()
-		}
+		v := newVerdict(x)
 		if old, ok := s.verdicts[fp]; !ok || old.blocked != v.blocked {
 			changed++
 		}
@@ -78,9 +80,38 @@
 	return changed
 }
 
+// applyPart stores the verdict on a part of prompts and returns 1 if it is new or changed.
+func (s *suspects) applyPart(before map[poison.Fingerprint]verdict, x *wire.Suspect) (changed int) {
+	if len(x.GetFingerprint()) != poison.FingerprintSize {
+		return 0
+	}
+	fp, v := poison.Fingerprint(x.GetFingerprint()), newVerdict(x)
+	if s.cleared.Has(fp) {
+		s.complete(fp) // Control does not know what this instance has seen.
+		return 0
+	}
+	if s.parts == nil {
+		s.parts = make(map[poison.Fingerprint]verdict)
+	}
+	s.parts[fp] = v
+	if old, ok := before[fp]; ok && old.blocked == v.blocked {
+		return 0
+	}
+	return 1
+}
+
+func newVerdict(x *wire.Suspect) verdict {
+	v := verdict{blocked: x.GetVerdict() == wire.Verdict_VERDICT_BLOCKED, until: time.UnixMilli(x.GetUntilUnixMillis())}
+	if g := x.GetGroup(); len(g) == groupBytes {
+		v.group, v.groupSize = binary.BigEndian.Uint64(g), x.GetGroupSize()
+	}
+	return v
+}
+
 // complete clears a fingerprint and reports that to control.
 func (s *suspects) complete(fp poison.Fingerprint) {
 	delete(s.verdicts, fp)
+	delete(s.parts, fp)
 	if len(s.completed) < maxCompleted {
 		s.completed = append(s.completed, fp[:])
 	}
@@ -109,12 +140,12 @@
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
 	s := &c.gateway.suspects
-	if len(s.verdicts) == 0 {
+	if len(s.parts) == 0 {
 		return verdict{}, false
 	}
 	var blocked poison.BlockedParts
 	for _, fp := range c.parts() {
-		part, found := s.verdicts[fp]
+		part, found := s.parts[fp]
 		if !found || time.Now().After(part.until) {
 			continue
 		}
@@ -132,7 +163,7 @@
 	s := &c.gateway.suspects
 	for _, fp := range c.parts() {
 		s.cleared.Add(fp)
-		if _, ok := s.verdicts[fp]; ok {
+		if _, ok := s.parts[fp]; ok {
 			s.complete(fp)
 		}
 	}
--- a/lib/poison/count.go
+++ b/lib/poison/count.go
@@ -64,7 +64,10 @@
 	if _, known := x.processes[p]; !known {
 		c.byProcess[p] = append(c.byProcess[p], fp)
 	}
-	x.processes[p], x.lastLoss = now, now
+	x.processes[p] = now
+	if now.After(x.lastLoss) {
+		x.lastLoss = now
+	}
 }
 
 // unlink removes the loss of the process from the request and from the index.
@@ -125,6 +128,9 @@
 // RecordCompletion records that a target completed the request, which clears it.
 func (c *LossCounter) RecordCompletion(fp Fingerprint) { c.remove(fp) }
 
+// Known reports whether processes were lost with the request.
+func (c *LossCounter) Known(fp Fingerprint) bool { return c.byFingerprint[fp] != nil }
+
 // Suspects returns the requests that are suspects or blocked.
 func (c *LossCounter) Suspects(now time.Time) (out []*wire.Suspect) {
 	for fp, x := range c.byFingerprint {
--- a/lib/poison/parts.go
+++ b/lib/poison/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -61,6 +62,59 @@
 	// suspects holds the last result of Suspects, and stale whether it must be computed anew.
 	suspects []*wire.Suspect
 	stale    bool
+	// unsaved is set if Save would return another state than the last time.
+	unsaved bool
+}
+
+// maxSavedParts and maxSavedProcesses bound the state that Save returns. A part needs no more
+// than blockThreshold processes to stay blocked; a few more tell groups apart.
+const (
+	maxSavedParts     = 256
+	maxSavedProcesses = 2 * blockThreshold
+)
+
+// Save returns the losses, for Load at a later leader; ok is false if they have not
+// changed since the last call.
+func (c *PartCounter) Save() (out *wire.PartLosses, ok bool) {
+	if !c.unsaved {
+		return nil, false
+	}
+	c.unsaved = false
+	out = &wire.PartLosses{}
+	for fp, x := range c.losses.byFingerprint {
+		part := &wire.PartLoss{Fingerprint: fp[:]}
+		for p, at := range x.processes {
+			part.Processes = append(part.Processes, &wire.LostProcess{
+				Target: p.Target, BornMillis: p.BornMillis, LostUnixMillis: at.UnixMilli(),
+			})
+		}
+		slices.SortFunc(part.Processes, func(a, b *wire.LostProcess) int {
+			return cmp.Or(cmp.Compare(b.GetLostUnixMillis(), a.GetLostUnixMillis()), cmp.Compare(a.GetTarget(), b.GetTarget()))
+		})
+		part.Processes = part.Processes[:min(len(part.Processes), maxSavedProcesses)]
+		out.Parts = append(out.Parts, part)
+	}
+	slices.SortFunc(out.Parts, func(a, b *wire.PartLoss) int {
+		return cmp.Or(cmp.Compare(len(b.GetProcesses()), len(a.GetProcesses())), bytes.Compare(a.GetFingerprint(), b.GetFingerprint()))
+	})
+	out.Parts = out.Parts[:min(len(out.Parts), maxSavedParts)]
+	return out, true
+}
+
+// SaveAgain makes the next Save return the losses even if they do not change any more.
+func (c *PartCounter) SaveAgain() { c.unsaved = true }
+
+// Load adds saved losses.
+func (c *PartCounter) Load(saved *wire.PartLosses) {
+	for _, part := range saved.GetParts() {
+		if len(part.GetFingerprint()) != FingerprintSize {
+			continue
+		}
+		for _, p := range part.GetProcesses() {
+			c.losses.RecordLoss(time.UnixMilli(p.GetLostUnixMillis()), Fingerprint(part.GetFingerprint()), Process{p.GetTarget(), p.GetBornMillis()})
+		}
+	}
+	c.stale = true
 }
 
 // RecordLoss records that the process was lost before the first output of a request with the
@@ -69,19 +123,30 @@
 	for _, fp := range parts {
 		c.losses.RecordLoss(now, fp, p)
 	}
-	c.stale = c.stale || len(parts) > 0
+	if len(parts) > 0 {
+		c.changed()
+	}
 }
 
+func (c *PartCounter) changed() { c.stale, c.unsaved = true, true }
+
 // RecordAnnouncement records an announcement by a process, as LossCounter does.
 func (c *PartCounter) RecordAnnouncement(now time.Time, p Process) {
-	c.stale = c.stale || len(c.losses.byProcess[p]) > 0
+	if len(c.losses.byProcess[p]) == 0 {
+		return
+	}
 	c.losses.RecordAnnouncement(now, p)
+	c.changed()
 }
 
-// RecordCompletion records that a target has begun an answer on the part.
-func (c *PartCounter) RecordCompletion(fp Fingerprint) {
-	c.losses.RecordCompletion(fp)
-	c.stale = true
+// RecordCompletion records that a target has begun an answer on the part. It reports whether
+// targets had been lost with the part.
+func (c *PartCounter) RecordCompletion(fp Fingerprint) (known bool) {
+	if _, known = c.losses.byFingerprint[fp]; known {
+		c.losses.RecordCompletion(fp)
+		c.changed()
+	}
+	return known
 }
 
 // Suspects returns the parts that are suspects or blocked.
@@ -91,6 +156,9 @@
 		return c.suspects
 	}
 	c.suspects, c.stale = c.losses.Suspects(now), false
+	for _, s := range c.suspects {
+		s.Part = true
+	}
 	groups := make(map[uint64][]*wire.Suspect)
 	for _, s := range c.suspects {
 		if s.GetVerdict() == wire.Verdict_VERDICT_BLOCKED {
--- a/lib/poison/parts_test.go
+++ b/lib/poison/parts_test.go
@@ -262,3 +262,39 @@
 	assert.Assert(t, c.Has(part(-1)) && c.Has(part(5*maxClearedParts-1)) && !c.Has(part(0)))
 	assert.Assert(t, len(c.recent)+len(c.older) <= 2*maxClearedParts)
 }
+
+// Guards against a new leader that loses further targets to parts that the previous one knew,
+// and against a state that grows with made-up parts or is written again unchanged.
+func TestSavedPartsOutliveTheLeader(t *testing.T) {
+	var c PartCounter
+	now := time.Unix(1_800_000_000, 0)
+	_, ok := c.Save()
+	assert.Assert(t, !ok)
+	for i := range 3 {
+		c.RecordLoss(now.Add(time.Duration(i)*time.Second), []Fingerprint{part(1)}, Process{fmt.Sprint("t", i), 1})
+	}
+	for i := range 2 * maxSavedParts {
+		c.RecordLoss(now, []Fingerprint{part(1000 + i)}, Process{"t9", 1})
+	}
+	saved, ok := c.Save()
+	assert.Assert(t, ok)
+	assert.Equal(t, len(saved.GetParts()), maxSavedParts)
+	_, ok = c.Save()
+	assert.Assert(t, !ok)
+
+	var next PartCounter
+	next.Load(saved)
+	later := now.Add(10 * time.Second)
+	assert.DeepEqual(t, next.Suspects(later)[0].GetFingerprint(), c.Suspects(later)[0].GetFingerprint())
+	assert.Equal(t, next.Suspects(later)[0].GetVerdict(), wire.Verdict_VERDICT_BLOCKED)
+	assert.Assert(t, next.RecordCompletion(part(1)))
+	saved, ok = next.Save()
+	assert.Assert(t, ok)
+	assert.Equal(t, len(saved.GetParts()), maxSavedParts-1)
+	next.SaveAgain()
+	_, ok = next.Save()
+	assert.Assert(t, ok)
+	assert.Equal(t, len((&PartCounter{}).Suspects(now)), 0)
+	expired := now.Add(lossRetention + 10*time.Second)
+	assert.Equal(t, len(c.Suspects(expired)), 0)
+}
--- a/lib/state/state.go
+++ b/lib/state/state.go
@@ -28,6 +28,7 @@
 	config       configTable
 	document     documentTable
 	roster       rosterTable
+	parts        partTable
 	claims       claimTable
 	suspects     suspectTable
 	incarnations incarnationTable
@@ -98,6 +99,10 @@
 		reply.Body = &wire.CommandReply_Post{Post: r}
 	case *wire.Command_Enlist:
 		reply.Body = &wire.CommandReply_Enlist{Enlist: m.roster.enlist(body.Enlist)}
+	case *wire.Command_PartLosses:
+		var r *wire.PartLossesReply
+		r, err = m.parts.replace(body.PartLosses)
+		reply.Body = &wire.CommandReply_PartLosses{PartLosses: r}
 	case *wire.Command_Sweep:
 		reply.Body = &wire.CommandReply_Sweep{Sweep: m.sweep(body.Sweep)}
 	default:
@@ -130,6 +135,7 @@
 	m.config.save(s)
 	s.Document = m.document.current
 	s.Roster = m.Roster()
+	s.PartLosses = m.parts.current
 	m.claims.save(s)
 	m.suspects.save(s)
 	m.incarnations.save(s)
@@ -158,6 +164,7 @@
 	m.config.load(s)
 	m.document.current = s.GetDocument()
 	m.roster.load(s.GetRoster())
+	m.parts.current = s.GetPartLosses()
 	m.claims.load(s)
 	m.suspects.load(s)
 	m.incarnations.load(s)
--- a/lib/state/state_test.go
+++ b/lib/state/state_test.go
@@ -212,3 +212,19 @@
 		assert.NilError(t, err)
 	})
 }
+
+// Guards against losses of parts of prompts that a snapshot does not keep.
+func TestPartLossesSurviveSnapshots(t *testing.T) {
+	losses := &wire.PartLosses{Parts: []*wire.PartLoss{{
+		Fingerprint: []byte("0123456789abcdef"), Processes: []*wire.LostProcess{{Target: "t", BornMillis: 1, LostUnixMillis: 2}},
+	}}}
+	m := New()
+	command, err := proto.Marshal(&wire.Command{Body: &wire.Command_PartLosses{PartLosses: losses}})
+	assert.NilError(t, err)
+	m.Apply(1, time.Unix(1, 0), command)
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, restored.Restore(data))
+	assert.Assert(t, proto.Equal(restored.PartLosses(), losses))
+}
