Bound what is read of an answer that does not end

The header of an answer, interim answers and late answers to earlier requests were read without bound until the deadline, at the cost of the memory of the entry instance; empty lines before an event were kept without bound, and each of them scanned all before it.

Change: readLimit bounds the header (256 KiB) and a skipped answer (16 MiB); EventReader bounds empty lines and scans each byte once.

--- /dev/null
+++ b/lib/relay/endless_test.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// endlessServer answers each connection with prefix and then repeats text until the caller
+// closes the connection. closed receives once for each of them.
+func endlessServer(t *testing.T, prefix, text string) (target Target, closed chan struct{}) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed = make(chan struct{}, 8)
+	block := []byte(strings.Repeat(text, 1+16<<10/len(text)))
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer func() {
+					_ = c.Close()
+					closed <- struct{}{}
+				}()
+				_, _ = c.Read(make([]byte, 4<<10))
+				_, err := io.WriteString(c, prefix)
+				for err == nil {
+					_, err = c.Write(block)
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		wg.Wait()
+	})
+	return Target{ID: "t", Addr: ln.Addr().(*net.TCPAddr).AddrPort()}, closed
+}
+
+// Guards against an entry instance that reads without bound, until the deadline of the
+// request, from a target in trouble whose answer does not end: it is killed for its memory.
+func TestEndlessAnswerIsCutOff(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct{ name, prefix, text string }{
+		{"status line", "", "x"},
+		{"header line", head + "X-A: ", "a"},
+		{"header lines", head, "X-A: a\r\n"},
+		{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"late answer", head + idHeader + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			target, closed := endlessServer(t, c.prefix, c.text)
+			p := NewPool()
+			defer func() { _ = p.Close() }()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := p.Do(ctx, target, 0, &Request{Method: "GET", URI: "/", Host: "h", IDHeader: idHeader, ID: "r1"})
+			var failed *Error
+			assert.Assert(t, errors.As(err, &failed) && failed.Sent, "%v", err)
+			assert.NilError(t, ctx.Err(), "the answer was read until the deadline")
+			<-closed
+		})
+	}
+}
+
+// Guards against a stream reader that keeps bytes without bound, if an event does not end or
+// only empty lines come.
+func TestEndlessEventIsCutOff(t *testing.T) {
+	for _, text := range []string{"\n", "\r\n", "data: x\n", ": comment\n", "x"} {
+		r := &countingReader{text: strings.Repeat(text, 4<<10)}
+		_, err := NewEventReader(r).Next()
+		assert.Assert(t, err != nil && !errors.Is(err, io.EOF), "%q", text)
+		assert.Assert(t, r.n <= 2*maxEventSize, "%q: %d bytes were read", text, r.n)
+	}
+}
+
+// countingReader returns text without end, up to a limit far above what may be read.
+type countingReader struct {
+	text string
+	n    int
+}
+
+func (r *countingReader) Read(dst []byte) (int, error) {
+	if r.n > 20*maxEventSize {
+		return 0, io.EOF
+	}
+	n := copy(dst, r.text)
+	r.n += n
+	return n, nil
+}
--- a/lib/relay/event.go
+++ b/lib/relay/event.go
@@ -15,6 +15,8 @@
 // ErrTruncated means that a stream ended within an event.
 var ErrTruncated = errors.New("stream ended within an event")
 
+var errEventSize = fmt.Errorf("event has more than %d bytes", maxEventSize)
+
 // Event is a complete event of a text/event-stream.
 type Event struct {
 	// Raw holds the bytes of the event, including the empty line that ends it.
@@ -38,13 +40,14 @@
 // ErrTruncated if the stream ends within an event.
 func (e *EventReader) Next() (Event, error) {
 	var ev Event
+	hasField := false
 	for {
 		line, err := e.r.ReadSlice('\n')
 		ev.Raw = append(ev.Raw, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			if len(ev.Raw) > maxEventSize {
-				return Event{}, fmt.Errorf("event has more than %d bytes", maxEventSize)
+				return Event{}, errEventSize
 			}
 			continue
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(ev.Raw)) > 0:
@@ -55,19 +58,23 @@
 		start := bytes.LastIndexByte(ev.Raw[:len(ev.Raw)-1], '\n') + 1
 		field := bytes.TrimRight(ev.Raw[start:], "\r\n")
 		if len(field) == 0 {
-			if len(bytes.TrimSpace(ev.Raw)) == 0 {
+			if !hasField {
 				// An empty line before the first field becomes part of the next event.
+				if len(ev.Raw) > maxEventSize {
+					return Event{}, errEventSize
+				}
 				continue
 			}
 			return ev, nil
 		}
+		hasField = true
 		if v, ok := bytes.CutPrefix(field, []byte("id:")); ok {
 			if n, err := strconv.ParseUint(string(bytes.TrimSpace(v)), 10, 64); err == nil {
 				ev.ID, ev.HasID = n, true
 			}
 		}
 		if len(ev.Raw) > maxEventSize {
-			return Event{}, fmt.Errorf("event has more than %d bytes", maxEventSize)
+			return Event{}, errEventSize
 		}
 	}
 }
--- a/lib/relay/exchange.go
+++ b/lib/relay/exchange.go
@@ -16,6 +16,13 @@
 // earlier requests are skipped.
 const maxResponses = 4
 
+// maxHeaderBytes bounds the header of a response, and maxSkippedBytes a late response to an
+// earlier request. A target in trouble may send bytes without end.
+const (
+	maxHeaderBytes  = 256 << 10
+	maxSkippedBytes = 16 << 20
+)
+
 // Request is a request as it is sent to a target.
 type Request struct {
 	Method string
@@ -125,7 +132,9 @@
 // complete responses to earlier requests, which it detects by IDHeader.
 func (c *conn) readHeader(r *Request) (*http.Response, error) {
 	method := &http.Request{Method: r.Method}
+	defer c.limit.lift()
 	for range maxResponses {
+		c.limit.set(maxHeaderBytes)
 		res, err := http.ReadResponse(c.r, method)
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
@@ -143,6 +152,7 @@
 		if res.ContentLength < 0 && !chunked(res) {
 			return nil, fmt.Errorf("answer of unknown length belongs to request %q", got)
 		}
+		c.limit.set(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, fmt.Errorf("skip answer of request %q: %w", got, err)
 		}
--- a/lib/relay/pool.go
+++ b/lib/relay/pool.go
@@ -75,6 +75,7 @@
 type conn struct {
 	net.Conn
 	r      *bufio.Reader
+	limit  *readLimit
 	target Target
 	// reuseUntil is the time from which the connection must not be reused.
 	reuseUntil time.Time
@@ -151,7 +152,8 @@
 		return nil, fmt.Errorf("dial %s: %w", t.Addr, err)
 	}
 	p.recordActivity(t)
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferSize), target: t, idleTimeout: defaultIdleTimeout}, nil
+	bounded := &readLimit{r: nc}
+	return &conn{Conn: nc, r: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded, target: t, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // release subtracts a connection that was closed, or that could not be opened, from the
