End the connections of the endless test server that bring no request

The pool probes a silent target with connections that bring no request. Only requests are answered and counted now; each of them must still be closed by the pool.

--- a/lib/relay/endless_test.go
+++ b/lib/relay/endless_test.go
@@ -13,8 +13,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// endlessServer answers each connection with prefix and then repeats text until the caller
-// closes the connection. closed receives once for each of them.
+// endlessServer answers each request with prefix and then repeats text until the caller closes
+// the connection. closed receives once for each request.
 func endlessServer(t *testing.T, prefix, text string) (target Target, closed chan struct{}) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -29,11 +29,11 @@
 				return
 			}
 			wg.Go(func() {
-				defer func() {
-					_ = c.Close()
-					closed <- struct{}{}
-				}()
-				_, _ = c.Read(make([]byte, 4<<10))
+				defer func() { _ = c.Close() }()
+				if _, err := c.Read(make([]byte, 4<<10)); err != nil {
+					return // A probe of the pool, without a request.
+				}
+				defer func() { closed <- struct{}{} }()
 				_, err := io.WriteString(c, prefix)
 				for err == nil {
 					_, err = c.Write(block)
