Give each service a retry budget of its own

Cause: an entry instance had one budget for all services, so that the requests for the models paid for resends to the ledger. Class: a limit that is stated for each part and kept for the whole.

Change: steer.RetryBudgets counts each service by itself. gate.RetryBudget, which stood twice, is steer.RetryLimit.

--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -54,7 +54,7 @@
 // dispatch sends the request until a response is complete or no resend is allowed.
 func (c *call) dispatch(ctx context.Context) *failure {
 	c.gateway.mu.Lock()
-	c.gateway.budget.CountRequest(c.arrivedAt)
+	c.gateway.budgets.Of(c.service.Name).CountRequest(c.arrivedAt)
 	c.gateway.mu.Unlock()
 	sends, fetches := 0, 0
 	for {
@@ -113,7 +113,7 @@
 	}
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
-	return c.gateway.budget.TryRetry(time.Now())
+	return c.gateway.budgets.Of(c.service.Name).TryRetry(time.Now())
 }
 
 func (c *call) retryLimitFailure() *failure {
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -61,7 +61,7 @@
 	headers        Headers
 	describePrompt func(h http.Header) (steer.Request, error)
 	decodeConfig   func(version uint64, content []byte) (*site.Config, error)
-	retryBudget    RetryBudget
+	retryLimit     steer.RetryLimit
 	seeds          func() []netip.AddrPort
 
 	controlConns *link.Pool
@@ -89,9 +89,9 @@
 	// mu guards everything below.
 	mu    sync.Mutex
 	fleet *fleetTable
-	// budget limits resends; its slack is this instance's share of the common slack.
-	budget steer.RetryBudget
-	demand steer.Demand
+	// budgets limit resends; their slack is this instance's share of the common slack.
+	budgets steer.RetryBudgets
+	demand  steer.Demand
 	// tableChanged is closed and replaced after each reply to a report, which may change
 	// the table.
 	tableChanged chan struct{}
@@ -110,21 +110,11 @@
 	usedAdapters map[string]map[string]bool
 }
 
-// RetryBudget limits the resends of all entry instances together.
-type RetryBudget struct {
-	// Ratio is the number of resends allowed per request.
-	Ratio float64
-	// Slack is the number of resends allowed per window in addition to Ratio.
-	Slack float64
-	// Window is the sliding window over which requests and resends are counted.
-	Window time.Duration
-}
-
 // Option configures a Gateway.
 type Option func(*Gateway)
 
-// WithRetryBudget sets the budget that all entry instances share.
-func WithRetryBudget(b RetryBudget) Option { return func(g *Gateway) { g.retryBudget = b } }
+// WithRetryLimit sets the limit of resends to each service, over all entry instances together.
+func WithRetryLimit(l steer.RetryLimit) Option { return func(g *Gateway) { g.retryLimit = l } }
 
 // WithMaxConfigAge sets the time after the acknowledgement of a configuration by which it
 // must be in effect everywhere.
@@ -143,7 +133,7 @@
 	g := &Gateway{
 		name: p.Common.Name, zone: p.Common.Zone, log: p.Log, metrics: newMetrics(p.Scope),
 		headers: headers, describePrompt: describe, decodeConfig: decode, seeds: seeds,
-		retryBudget:  RetryBudget{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
+		retryLimit:   steer.RetryLimit{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
 		maxConfigAge: defaultMaxConfigAge,
 		controlConns: link.NewPool(), reportNow: make(chan struct{}, 1), firstConfig: make(chan struct{}), fleet: newFleetTable(),
 		tableChanged: make(chan struct{}), usedAdapters: make(map[string]map[string]bool),
@@ -154,19 +144,21 @@
 	if g.targetConns == nil {
 		g.targetConns = relay.NewPool()
 	}
-	g.setBudget(1)
+	g.setRetryLimit(1)
 	return g
 }
 
-// retryBudgetFraction is the fraction of the retry budget that is used. The rest is a
+// retryLimitFraction is the fraction of the retry limit that is used. The rest is a
 // reserve, because an instance that restarts loses its count of resends.
-const retryBudgetFraction = 0.7
+const retryLimitFraction = 0.7
 
-// setBudget sets this instance's share of the retry budget for the given number of
+// setRetryLimit sets this instance's share of the retry limit for the given number of
 // entry instances. The caller holds mu or has exclusive access to g.
-func (g *Gateway) setBudget(entries int) {
-	g.budget.Ratio, g.budget.Window = g.retryBudget.Ratio*retryBudgetFraction, g.retryBudget.Window
-	g.budget.Slack = g.retryBudget.Slack * retryBudgetFraction / float64(max(entries, 1))
+func (g *Gateway) setRetryLimit(entries int) {
+	g.budgets.SetLimit(steer.RetryLimit{
+		Ratio: g.retryLimit.Ratio * retryLimitFraction, Window: g.retryLimit.Window,
+		Slack: g.retryLimit.Slack * retryLimitFraction / float64(max(entries, 1)),
+	})
 }
 
 // Run reports to control and removes stale connections until ctx is cancelled. Then it
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -42,6 +42,8 @@
 	fetched []string
 	refusal string
 	down    bool
+	// term is the term in the replies; 0 for 1.
+	term uint64
 	// count evaluates the lost requests as the control leader does.
 	count poison.LossCounter
 	// parts does the same for the parts of prompts.
@@ -55,7 +57,7 @@
 		return nil, errors.New("down")
 	}
 	r := &wire.FleetReply{
-		Protocol: link.Protocol, Term: 1, TableVersion: 1, Whole: true, Warm: true, Targets: c.targets, Entries: 1,
+		Protocol: link.Protocol, Term: max(c.term, 1), TableVersion: 1, Whole: true, Warm: true, Targets: c.targets, Entries: 1,
 	}
 	for _, l := range req.GetLost() {
 		c.count.RecordLoss(time.Now(), poison.Fingerprint(l.GetFingerprint()), poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
@@ -174,7 +176,7 @@
 		}, nil
 	}
 	fx.gateway = New(p, testHeaders, describe, decode, func() []netip.AddrPort { return []netip.AddrPort{srv.Addr()} },
-		WithRetryBudget(RetryBudget{Ratio: 1, Slack: 50, Window: time.Second}))
+		WithRetryLimit(steer.RetryLimit{Ratio: 1, Slack: 50, Window: time.Second}))
 	assert.NilError(t, fx.gateway.report(t.Context()))
 	fx.front = httptest.NewServer(fx.gateway)
 	t.Cleanup(func() {
--- a/lib/steer/budget.go
+++ b/lib/steer/budget.go
@@ -1,17 +1,58 @@
 package steer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
-// RetryBudget limits retries to a share of the requests in a sliding window. It covers
-// one entry instance. All entry instances together stay within the budget of the
-// deployment because each one gets only its share of the slack.
-type RetryBudget struct {
+// RetryLimit states how many retries are allowed.
+type RetryLimit struct {
 	// Ratio is the number of retries allowed per request.
 	Ratio float64
 	// Slack is the number of retries allowed per window in addition.
 	Slack float64
 	// Window is the length of the sliding window.
 	Window time.Duration
+}
+
+// RetryBudgets limits the retries to each service by the requests for this service, which
+// the requests for others must not pay for. It covers one entry instance. All entry
+// instances together stay within the limit of the deployment because each one gets only its
+// share of the slack.
+type RetryBudgets struct {
+	limit     RetryLimit
+	byService map[string]*RetryBudget
+}
+
+// SetLimit sets the limit of each service. What was counted in the window stays counted.
+func (b *RetryBudgets) SetLimit(limit RetryLimit) {
+	b.limit = limit
+	for _, s := range b.byService {
+		s.RetryLimit = limit
+	}
+}
+
+// Of returns the budget of a service.
+func (b *RetryBudgets) Of(service string) *RetryBudget {
+	s := b.byService[service]
+	if s == nil {
+		if b.byService == nil {
+			b.byService = make(map[string]*RetryBudget)
+		}
+		s = &RetryBudget{RetryLimit: b.limit}
+		b.byService[service] = s
+	}
+	return s
+}
+
+// Retain removes the budgets of services that are no longer in use.
+func (b *RetryBudgets) Retain(used func(service string) bool) {
+	maps.DeleteFunc(b.byService, func(service string, _ *RetryBudget) bool { return !used(service) })
+}
+
+// RetryBudget limits retries to a share of the requests in a sliding window.
+type RetryBudget struct {
+	RetryLimit
 
 	requests, retries [budgetBuckets]float64
 	// bucket is the number of the current part of the window, counted from the epoch.
