--- a/lib/poison/parts.go
+++ b/lib/poison/parts.go
@@ -155,25 +155,33 @@
 	if !c.stale && !slices.ContainsFunc(c.suspects, expired) {
 		return c.suspects
 	}
-	c.suspects, c.stale = c.losses.Suspects(now), false
-	for _, s := range c.suspects {
+	all := c.losses.Suspects(now)
+	blocked := make([]*wire.Suspect, 0, len(all))
+	for _, s := range all {
 		s.Part = true
-	}
-	groups := make(map[uint64][]*wire.Suspect)
-	for _, s := range c.suspects {
 		if s.GetVerdict() == wire.Verdict_VERDICT_BLOCKED {
-			g := c.losses.group(Fingerprint(s.GetFingerprint()))
-			groups[g] = append(groups[g], s)
+			blocked = append(blocked, s)
 		}
 	}
+	c.setGroups(blocked)
+	c.suspects = slices.DeleteFunc(all, func(s *wire.Suspect) bool { return c.explained(s, blocked) })
+	slices.SortFunc(c.suspects, func(a, b *wire.Suspect) int { return bytes.Compare(a.GetFingerprint(), b.GetFingerprint()) })
+	c.stale = false
+	return c.suspects
+}
+
+// setGroups sets the groups of blocked parts.
+func (c *PartCounter) setGroups(blocked []*wire.Suspect) {
+	groups := make(map[uint64][]*wire.Suspect)
+	for _, s := range blocked {
+		g := c.losses.group(Fingerprint(s.GetFingerprint()))
+		groups[g] = append(groups[g], s)
+	}
 	for g, members := range groups {
 		for _, s := range members {
 			s.Group, s.GroupSize = binary.BigEndian.AppendUint64(nil, g), uint32(len(members))
 		}
 	}
-	c.suspects = slices.DeleteFunc(c.suspects, c.explained)
-	slices.SortFunc(c.suspects, func(a, b *wire.Suspect) int { return bytes.Compare(a.GetFingerprint(), b.GetFingerprint()) })
-	return c.suspects
 }
 
 // group returns a key that is the same for the fingerprints that were lost with the same
@@ -186,14 +194,11 @@
 	return key
 }
 
-// explained reports whether a part is left without enough losses once those are taken out
-// that another part explains, one that was lost with all of the same processes and more.
-func (c *PartCounter) explained(s *wire.Suspect) bool {
+// explained reports whether one of the blocked parts was lost with all the processes that s
+// was lost with, and with more: it explains these losses alone.
+func (c *PartCounter) explained(s *wire.Suspect, blocked []*wire.Suspect) bool {
 	own := c.losses.byFingerprint[Fingerprint(s.GetFingerprint())].processes
-	for _, other := range c.suspects {
-		if other.GetVerdict() != wire.Verdict_VERDICT_BLOCKED || bytes.Equal(other.GetFingerprint(), s.GetFingerprint()) {
-			continue
-		}
+	for _, other := range blocked {
 		theirs := c.losses.byFingerprint[Fingerprint(other.GetFingerprint())].processes
 		if len(theirs) > len(own) && containsAll(theirs, own) {
 			return true
