Let operators lift the verdict on parts of prompts alone

bulrushpath clear also took fingerprints of requests, but entry instances keep those verdicts until they expire, so that nothing was lifted.

--- a/control/lost.go
+++ b/control/lost.go
@@ -84,13 +84,11 @@
 	return err
 }
 
-// clear lifts the verdict on a request or a part of prompts, for an operator.
-func (f *Fleet) clear(fp poison.Fingerprint) (known bool) {
+// clearPart lifts the verdict on a part of prompts, for an operator.
+func (f *Fleet) clearPart(fp poison.Fingerprint) (known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known = f.lostRequests.Known(fp)
-	f.lostRequests.RecordCompletion(fp)
-	return f.lostParts.RecordCompletion(fp) || known
+	return f.lostParts.RecordCompletion(fp)
 }
 
 // lostSuspects returns the requests and parts of prompts that are suspects or blocked.
@@ -100,8 +98,8 @@
 	return append(f.lostRequests.Suspects(now), f.lostParts.Suspects(now)...)
 }
 
-// Clear lifts the verdict on a request or a part of prompts that targets were lost with. It
-// is for operators who know that the loss had another cause.
+// Clear lifts the verdict on a part of prompts that targets were lost with. It is for
+// operators who know that the loss had another cause.
 func (s *service) Clear(_ context.Context, req *wire.ClearRequest) (*wire.ClearReply, error) {
 	if err := link.CheckProtocol(req.GetProtocol()); err != nil {
 		return nil, err
@@ -113,9 +111,9 @@
 		return nil, link.Errorf(link.CodeInvalid, "fingerprint has %d bytes, want %d", len(req.GetFingerprint()), poison.FingerprintSize)
 	}
 	if s.fleet == nil {
-		return nil, link.Errorf(link.CodeInvalid, "this group counts no lost requests of announced targets")
+		return nil, link.Errorf(link.CodeInvalid, "this group has no targets that announce themselves")
 	}
-	known := s.fleet.clear(poison.Fingerprint(req.GetFingerprint()))
+	known := s.fleet.clearPart(poison.Fingerprint(req.GetFingerprint()))
 	s.log.Warn().Str("event", "verdictLifted").Hex("fingerprint", req.GetFingerprint()).Bool("known", known).Msg("")
 	return &wire.ClearReply{Known: known}, nil
 }
--- a/lib/poison/count.go
+++ b/lib/poison/count.go
@@ -128,9 +128,6 @@
 // RecordCompletion records that a target completed the request, which clears it.
 func (c *LossCounter) RecordCompletion(fp Fingerprint) { c.remove(fp) }
 
-// Known reports whether processes were lost with the request.
-func (c *LossCounter) Known(fp Fingerprint) bool { return c.byFingerprint[fp] != nil }
-
 // Suspects returns the requests that are suspects or blocked.
 func (c *LossCounter) Suspects(now time.Time) (out []*wire.Suspect) {
 	for fp, x := range c.byFingerprint {
