--- a/control/settings.go
+++ b/control/settings.go
@@ -129,12 +129,8 @@
 		out.Addf("control.electionTimeout", "%s is below 3 heartbeats; one lost message would depose the leader",
 			c.ElectionTimeout)
 	}
-	for key, n := range map[string]int{
-		"tolerateInstances": c.TolerateInstances, "tolerateZones": c.TolerateZones, "tolerateRegions": c.TolerateRegions,
-	} {
-		if n < 0 {
-			out.Addf("control."+key, "%d is negative", n)
-		}
+	if !c.Tolerance().Valid() {
+		out.Addf("control.tolerateInstances", "a number of losses to bear is negative")
 	}
 	if c.SnapshotEntries < 1 {
 		out.Addf("control.snapshotEntries", "%d is not above zero", c.SnapshotEntries)
--- a/lib/quorum/tolerance.go
+++ b/lib/quorum/tolerance.go
@@ -13,6 +13,9 @@
 	Members, Zones, Regions int
 }
 
+// Valid reports whether no number is negative.
+func (t Tolerance) Valid() bool { return min(t.Members, t.Zones, t.Regions) >= 0 }
+
 // minVoters lets a group keep a majority while one of its members restarts.
 const minVoters = 3
 
