Show that requests reach targets that left long ago

An entry instance whose replies are lost, late or missing chooses from a table of any age; a target that leaves during the fetch of an adapter still gets the request; control counts a reply that was built as received, and acknowledges a target whose removal is not durable.

--- /dev/null
+++ b/control/leave_test.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushpath.example/lib/fleet"
+	"bulrushpath.example/lib/link"
+	"bulrushpath.example/lib/wire"
+)
+
+// reportHeld sends a report of an instance that holds the table with the given version.
+func reportHeld(t *testing.T, f *Fleet, name string, version uint64) *wire.FleetReply {
+	t.Helper()
+	reply, err := f.Report(t.Context(), &wire.FleetRequest{
+		Protocol: link.Protocol, Name: name, Term: 1, TableVersion: version, DocumentVersion: 3,
+	})
+	assert.NilError(t, err)
+	return reply
+}
+
+// Guards against counting an instance as told whose reply was lost or is late (DRAIN): only
+// its next report shows that it holds the table without the target.
+func TestLeavingWaitsForConfirmation(t *testing.T) {
+	e := newFakeEngine()
+	f := startFleet(t, e)
+	announce(t, f, e, 1)
+	held := reportHeld(t, f, "e1", 0).GetTableVersion()
+	reportHeld(t, f, "e1", held)
+	done := make(chan error, 1)
+	go func() { done <- f.Leave(context.Background(), "t1") }()
+	for end := time.Now().Add(propagationTimeout); ; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the table does not change")
+		if reply := reportHeld(t, f, "e1", held); reply.GetTableVersion() > held {
+			break
+		}
+	}
+	select {
+	case <-done:
+		t.Fatal("acknowledged after a reply that may be lost")
+	case <-time.After(propagationTimeout / 5):
+	}
+	f.mu.Lock()
+	_, version := f.table.Version()
+	f.mu.Unlock()
+	reportHeld(t, f, "e1", version)
+	select {
+	case err := <-done:
+		assert.NilError(t, err)
+	case <-time.After(propagationTimeout / 2):
+		t.Fatal("not acknowledged after the confirmation")
+	}
+}
+
+// Guards against acknowledging a target as leaving that the next leader would restore from
+// the roster as ready (DRAIN): the update of the roster was lost, and its repetition is
+// acknowledged as known.
+func TestLeavingIsDurableFirst(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		e := newFakeEngine()
+		f := startFleet(t, e)
+		announce(t, f, e, 1)
+		assert.NilError(t, f.updateRoster(t.Context(), ""))
+		sequence := uint64(1)
+		leave := func() error {
+			if !draining {
+				return f.Leave(t.Context(), "t1")
+			}
+			sequence++
+			f.mu.Lock()
+			a, _ := f.table.Lookup("t1")
+			f.mu.Unlock()
+			a.Sequence, a.Draining = sequence, true
+			return f.Announce(t.Context(), a, EngineState{})
+		}
+		propose := f.svc.group.Propose
+		f.svc.group.Propose = func(context.Context, []byte) ([]byte, error) { return nil, errors.New("no majority") }
+		for range 2 {
+			assert.Assert(t, leave() != nil, "draining=%v: acknowledged, but not durable", draining)
+		}
+		f.svc.group.Propose = propose
+		assert.NilError(t, leave())
+		f.svc.group.Leading = func() (uint64, bool) { return 2, true }
+		f.mu.Lock()
+		_, err := f.requireLeader()
+		live := f.table.Live()
+		f.mu.Unlock()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, live, []fleet.Announcement(nil))
+	}
+}
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -48,9 +48,38 @@
 	count poison.LossCounter
 	// parts does the same for the parts of prompts.
 	parts poison.PartCounter
+	// beforeReply, if set, runs when a reply has been built; its error loses the reply.
+	beforeReply func() error
+	// loads holds the loads in each reply.
+	loads []*wire.TargetLoad
+	// beforeFetch, if set, runs before an adapter is fetched.
+	beforeFetch func()
+}
+
+func (c *fakeControl) setReply(before func() error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beforeReply = before
+}
+
+func (c *fakeControl) setFetch(before func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beforeFetch = before
 }
 
 func (c *fakeControl) Report(_ context.Context, req *wire.FleetRequest) (*wire.FleetReply, error) {
+	r, err := c.buildReply(req)
+	c.mu.Lock()
+	before := c.beforeReply
+	c.mu.Unlock()
+	if err == nil && before != nil {
+		err = before()
+	}
+	return r, err
+}
+
+func (c *fakeControl) buildReply(req *wire.FleetRequest) (*wire.FleetReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.down {
@@ -58,6 +87,7 @@
 	}
 	r := &wire.FleetReply{
 		Protocol: link.Protocol, Term: max(c.term, 1), TableVersion: 1, Whole: true, Warm: true, Targets: c.targets, Entries: 1,
+		Loads: c.loads,
 	}
 	for _, l := range req.GetLost() {
 		c.count.RecordLoss(time.Now(), poison.Fingerprint(l.GetFingerprint()), poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
@@ -83,6 +113,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fetched = append(c.fetched, req.GetTarget()+" "+req.GetModel()+"/"+req.GetAdapter())
+	if before := c.beforeFetch; before != nil {
+		c.mu.Unlock()
+		before()
+		c.mu.Lock()
+	}
 	return &wire.FetchReply{Accepted: c.refusal == "", Message: c.refusal}, nil
 }
 
@@ -172,7 +207,7 @@
 	decode := func(version uint64, _ []byte) (*site.Config, error) {
 		return &site.Config{
 			Version: version, Routes: routes(), Limits: site.Limits{BodyBytes: 1000, HeaderBytes: 2000},
-			Services: []site.Service{{Name: "plain"}, {Name: "engines", Engine: &site.Engine{KVTokens: 10_000, Models: []site.Model{{Name: "m"}, {Name: "rare"}}}}},
+			Services: []site.Service{{Name: "plain", HealthPath: "/health"}, {Name: "engines", HealthPath: "/health", Engine: &site.Engine{KVTokens: 10_000, Models: []site.Model{{Name: "m"}, {Name: "rare"}}}}},
 		}, nil
 	}
 	fx.gateway = New(p, testHeaders, describe, decode, func() []netip.AddrPort { return []netip.AddrPort{srv.Addr()} },
