Acknowledge a leaving target once that is durable and confirmed

Callers saw requests sent to targets whose leaving had been acknowledged (DRAIN). Control counted a reply to an entry instance as received when it was built, and acknowledged a target whose removal from the replicated list had failed or was overtaken by an older update: the next leader then offered it again, and the repetition of the announcement was acknowledged at once as known.

Now the report after the reply counts, the removal must be committed, updates of the list are serialized, and each announcement of a draining target waits for the same. The log event leavingUnconfirmed names the instances that are missing when the wait of 0.5 s ends.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -23,8 +23,8 @@
 const (
 	// entryLease is how long an entry instance counts as live after its last report.
 	entryLease = 2500 * time.Millisecond
-	// propagationTimeout bounds the wait until all entry instances have been told that a
-	// target is leaving.
+	// propagationTimeout bounds the wait until all entry instances have confirmed that a
+	// target is leaving. One that has not stops using its table by itself (entry/gate).
 	propagationTimeout      = 500 * time.Millisecond
 	propagationPollInterval = 10 * time.Millisecond
 	// maxReportsPerSecond limits the total rate of reports from all entry instances.
@@ -72,6 +72,9 @@
 	stop context.CancelFunc
 	wg   sync.WaitGroup
 
+	// rosterMu serializes the updates of the roster.
+	rosterMu sync.Mutex
+
 	// mu guards everything below.
 	mu sync.Mutex
 	// term is the term that the tables below belong to, and termStart the time when this
@@ -110,8 +113,9 @@
 	lastReport time.Time
 	loads      []*wire.TargetLoad
 	demand     []*wire.ModelDemand
-	// tableVersion is the table version in the last reply to the instance.
-	tableVersion uint64
+	// heldVersion is the version of this term's table that the instance held at its last
+	// report. What was sent to it since may be lost.
+	heldVersion uint64
 }
 
 type fleetMetrics struct {
@@ -242,8 +246,8 @@
 	return f.svc.machine.Document(), nil
 }
 
-// Announce records an announcement of a target. If the target starts to drain, Announce
-// first waits for the entry instances as described at awaitPropagation.
+// Announce records an announcement of a target. That of a draining target returns only as
+// described at awaitLeaving; if it fails, the target announces itself again.
 func (f *Fleet) Announce(ctx context.Context, a fleet.Announcement, e EngineState) error {
 	now := time.Now()
 	f.mu.Lock()
@@ -263,21 +267,20 @@
 	if outcome == fleet.Current && a.HasModels {
 		changed = f.observe(now, a, e) || changed
 	}
-	_, version := f.table.Version()
 	f.mu.Unlock()
 	if changed && (!known || a.Draining != before.Draining) || outcome == fleet.Superseded {
 		f.log.Info().Str("event", "announced").Str("target", a.ID).Str("service", a.Service).
 			Str("addr", a.Addr.String()).Uint64("sequence", a.Sequence).Bool("draining", a.Draining).
 			Str("outcome", outcome.String()).Msg("")
 	}
-	if a.Draining && changed {
-		f.awaitPropagation(ctx, a.ID, version)
+	if a.Draining {
+		return f.awaitLeaving(ctx, a.ID)
 	}
 	return nil
 }
 
-// Leave records that a target accepts no more requests. Like Announce, it waits for
-// the entry instances before it returns.
+// Leave records that a target accepts no more requests. Like the announcement of a draining
+// target, it returns as described at awaitLeaving.
 func (f *Fleet) Leave(ctx context.Context, id string) error {
 	f.mu.Lock()
 	if _, err := f.requireLeader(); err != nil {
@@ -285,40 +288,46 @@
 		return err
 	}
 	changed := f.table.Leave(time.Now(), id)
-	_, version := f.table.Version()
 	f.mu.Unlock()
 	if changed {
 		f.log.Info().Str("event", "targetLeft").Str("target", id).Msg("")
-		f.awaitPropagation(ctx, id, version)
 	}
-	return nil
+	return f.awaitLeaving(ctx, id)
 }
 
-// awaitPropagation updates the roster, which takes at most rosterTimeout. Then it waits,
-// for at most propagationTimeout, until every live entry instance has been sent the
-// table with the given version.
-func (f *Fleet) awaitPropagation(ctx context.Context, id string, version uint64) {
+// awaitLeaving returns nil once a later leader would not offer the target to entry instances
+// either, and the live ones have confirmed that it is leaving. It waits for them at most
+// propagationTimeout: those that have not confirmed by then have had no reply since, and stop
+// using their table before the target ends.
+func (f *Fleet) awaitLeaving(ctx context.Context, id string) error {
 	if err := f.updateRoster(ctx, id); err != nil {
-		f.log.Warn().Str("event", "rosterUpdateFailed").Str("target", id).Err(err).Msg("")
+		return fmt.Errorf("store that target %s leaves: %w", id, err)
 	}
 	end := time.Now().Add(propagationTimeout)
-	for ctx.Err() == nil && time.Now().Before(end) && !f.propagated(version) {
+	missing := f.unconfirmed(id)
+	for len(missing) > 0 && ctx.Err() == nil && time.Now().Before(end) {
 		time.Sleep(propagationPollInterval)
+		missing = f.unconfirmed(id)
 	}
+	if len(missing) > 0 {
+		f.log.Info().Str("event", "leavingUnconfirmed").Str("target", id).Strs("entries", missing).Msg("")
+	}
+	return nil
 }
 
-// propagated reports whether all live entry instances have been sent the table with the
-// given version.
-func (f *Fleet) propagated(version uint64) bool {
+// unconfirmed returns the live entry instances that have not confirmed the latest change of a
+// target.
+func (f *Fleet) unconfirmed(id string) (names []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
-	for _, e := range f.entries {
-		if now.Sub(e.lastReport) < entryLease && e.tableVersion < version {
-			return false
+	now, version := time.Now(), f.table.ChangeVersion(id)
+	for name, e := range f.entries {
+		if now.Sub(e.lastReport) < entryLease && e.heldVersion < version {
+			names = append(names, name)
 		}
 	}
-	return true
+	slices.Sort(names)
+	return names
 }
 
 // Report records the state of an entry instance and returns what has changed since
@@ -370,10 +379,13 @@
 	}
 	f.loads.replace(e.loads, req.GetLoads())
 	e.lastReport, e.loads, e.demand = now, req.GetLoads(), req.GetDemand()
+	e.heldVersion = 0
+	if req.GetTerm() == term {
+		e.heldVersion = req.GetTableVersion()
+	}
 	f.touchAdapters(now, req.GetLoads())
 	reply := &wire.FleetReply{Protocol: link.Protocol, Term: term, Warm: f.table.Warm(now)}
 	reply.Targets, reply.TableVersion, reply.Whole = f.table.Since(req.GetTerm(), req.GetTableVersion(), maxTargetsPerReply)
-	e.tableVersion = reply.GetTableVersion()
 	reply.Loads, reply.Entries = f.loads.others(req.GetLoads()), uint32(len(f.entries))
 	reply.ReportMillis = uint32(reportPeriod(len(f.entries)).Milliseconds())
 	if _, version := f.table.Version(); version > reply.GetTableVersion() {
--- a/control/roster.go
+++ b/control/roster.go
@@ -100,14 +100,29 @@
 	return r
 }
 
-// updateRoster updates the roster if this instance leads. leaving is the ID of a target
-// that is leaving, or empty. Until the table is warm, no other target is removed, because
-// it may not have announced itself to this leader yet.
+// updateRosterIfLeading is the periodic task of updateRoster.
+func (f *Fleet) updateRosterIfLeading(ctx context.Context) error {
+	if _, leading := f.svc.group.Leading(); !leading {
+		return nil
+	}
+	return f.updateRoster(ctx, "")
+}
+
+// updateRoster brings the roster in line with the table; it fails if this instance does not
+// lead. leaving is the ID of a target that is leaving, or empty. Until the table is warm, no
+// other target is removed, because it may not have announced itself to this leader yet.
 func (f *Fleet) updateRoster(ctx context.Context, leaving string) error {
+	// An update that was computed earlier must not be applied later: it could list a target
+	// again that has left since.
+	f.rosterMu.Lock()
+	defer f.rosterMu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	if _, err := f.requireLeader(); err != nil {
 		f.mu.Unlock()
-		return nil
+		return err
 	}
 	warm := f.table.Warm(time.Now())
 	changes := f.rosterChanges()
--- a/control/run.go
+++ b/control/run.go
@@ -44,9 +44,7 @@
 			return nil
 		}})
 		tasks = append(tasks, daemon.Task{Name: "saveParts", Period: partsPeriod, Run: f.saveParts})
-		tasks = append(tasks, daemon.Task{Name: "listTargets", Period: rosterPeriod, Run: func(ctx context.Context) error {
-			return f.updateRoster(ctx, "")
-		}})
+		tasks = append(tasks, daemon.Task{Name: "listTargets", Period: rosterPeriod, Run: f.updateRosterIfLeading})
 		register = func(mux *drpcmux.Mux) error {
 			if err := svc.register(mux); err != nil {
 				return err
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -112,6 +112,15 @@
 // Version returns the term and the current version of the table.
 func (t *Table) Version() (term, version uint64) { return t.term, t.version }
 
+// ChangeVersion returns the table version of the latest change of a target; 0 if the table
+// has no record of it.
+func (t *Table) ChangeVersion(id string) uint64 {
+	if x := t.targets[id]; x != nil {
+		return x.changeVersion
+	}
+	return 0
+}
+
 // Warm reports whether every live target has had time to announce itself to this leader.
 func (t *Table) Warm(now time.Time) bool { return now.Sub(t.startedAt) >= warmupTime }
 
