Choose no target from a table that is too old

Callers saw requests sent to targets that had left up to 3 s before (DRAIN, bound 2.5 s): entry instances whose reports failed chose from their table whatever its age, and targets that a new leader does not list stayed in use for 8 s.

The age of a table counts from the send of the report that brought it up to date, by a clock that includes suspensions. Control cannot have acknowledged a leaving before that, so that a table younger than the drain bound less 0.5 s (for a request on its way) is safe whoever was not told. With an older one, and for targets that the leader does not list, the target itself must have answered its health check within the same time; so models stay reachable without control. A reply that holds only a part of the table does not renew it.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -390,6 +390,7 @@
 	reply.ReportMillis = uint32(reportPeriod(len(f.entries)).Milliseconds())
 	if _, version := f.table.Version(); version > reply.GetTableVersion() {
 		reply.ReportMillis = uint32(partialTablePeriod.Milliseconds())
+		reply.Partial = true
 	}
 	f.addDocument(req, reply)
 	reply.Control = f.controlAddrs
--- a/entry/gate/choose.go
+++ b/entry/gate/choose.go
@@ -71,13 +71,17 @@
 // is the time at which a load of the model is expected to finish, or zero if no target is
 // loading it. The caller holds mu.
 func (c *call) selectTarget(now time.Time) (choice steer.Choice, until time.Time) {
-	targets := c.gateway.fleet.services[c.service.Name]
+	g := c.gateway
+	targets := g.fleet.services[c.service.Name]
 	s := c.selection()
-	choice = steer.Pick(now, s, &c.prompt, targets, func(t *steer.Target) bool { return c.tried[t.ID] })
-	if choice.Target == nil && len(c.tried) > 0 && steer.Resident(c.prompt.Model, targets) {
+	clock := g.tableContact.Now()
+	skip := func(t *steer.Target) bool { return c.tried[t.ID] || !g.acceptsWork(clock, t) }
+	choice = steer.Pick(now, s, &c.prompt, targets, skip)
+	c.confirming = choice.Target == nil && c.confirmTarget(now, clock, targets)
+	if choice.Target == nil && !c.confirming && len(c.tried) > 0 && steer.Resident(c.prompt.Model, targets) {
 		// All targets that hold the model were tried; they may have free capacity by now.
 		clear(c.tried)
-		choice = steer.Pick(now, s, &c.prompt, targets, func(*steer.Target) bool { return false })
+		choice = steer.Pick(now, s, &c.prompt, targets, skip)
 	}
 	c.countDemand(now, choice)
 	if choice.Target == nil {
@@ -92,7 +96,7 @@
 	c.record.promptTokensAhead = t.Own.PromptTokens + t.Others.PromptTokens
 	c.record.runningAhead = t.Own.Running + t.Others.Running
 	for _, x := range t.StartRequest(now, &c.prompt, s, choice.PrefillTokens) {
-		c.gateway.recordCached(t.ID, x)
+		g.recordCached(t.ID, x)
 	}
 	c.record.target, c.record.expectedWait = choice.Target.ID, choice.Wait
 	c.record.prefillTokens, c.record.candidates = choice.PrefillTokens, choice.Candidates
@@ -130,6 +134,8 @@
 func (c *call) checkAvailability(now, begun, until time.Time) *failure {
 	unknown := c.service.Engine != nil && c.service.Engine.Model(c.prompt.Model) == nil
 	switch {
+	case c.confirming && now.Add(responseMargin).Before(c.deadline):
+		return nil
 	case unknown:
 		return &failure{status: http.StatusServiceUnavailable, reason: "the model is not declared", retryAfter: time.Second}
 	case !c.gateway.warm.Load() && now.Add(responseMargin).Before(c.deadline):
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -150,7 +150,7 @@
 	c.recordAdapterUse(t)
 	c.setSendHeaders()
 	sentAt := time.Now()
-	answer, err := c.gateway.targetConns.Do(ctx, c.dest.Target, c.connLimit(), c.outbound)
+	answer, err := c.gateway.targetConns.Do(ctx, c.dest.Target, connLimit(c.service), c.outbound)
 	if err != nil {
 		var failed *relay.Error
 		if errors.As(err, &failed) && !failed.Sent {
@@ -263,13 +263,13 @@
 	}
 }
 
-// connLimit returns this instance's share of the connections that a target accepts; 0
-// means no limit.
-func (c *call) connLimit() int {
-	if c.service.MaxConns <= 0 {
+// connLimit returns this instance's share of the connections that a target of the service
+// accepts; 0 means no limit.
+func connLimit(s *site.Service) int {
+	if s.MaxConns <= 0 {
 		return 0
 	}
-	return max(c.service.MaxConns/assumedEntryInstances, 1)
+	return max(s.MaxConns/assumedEntryInstances, 1)
 }
 
 // assumedEntryInstances is the number of entry instances that are assumed to share the
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -47,6 +47,8 @@
 	Priority string
 	// CopyFrom holds the address of the target from which the prompt cache is copied.
 	CopyFrom string
+	// Instance holds the id of the target in the answer to a health check.
+	Instance string
 	// Seal is set in responses that were produced by a target.
 	Seal string
 	// Reserved lists headers that clients may not set; they are removed from requests.
@@ -69,8 +71,14 @@
 
 	// index is the active configuration; nil until the first one is received.
 	index atomic.Pointer[site.Index]
-	// contact is the last contact with control, which limits the age of index and fleet.
-	contact link.Contact
+	// contact is the last contact with control, which limits the age of index. tableContact
+	// is the last one whose reply brought the whole of the table up to date.
+	contact, tableContact link.Contact
+	// maxTableAge is the age of fleet from which on each target has to confirm that it
+	// accepts requests.
+	maxTableAge time.Duration
+	// tableStale is true if the age of fleet exceeded maxTableAge at the last report.
+	tableStale bool
 	// maxConfigAge is the age from which on a newer configuration may be in effect.
 	maxConfigAge time.Duration
 	// reportInterval is the report interval requested by control, in nanoseconds.
@@ -86,14 +94,17 @@
 	// reportNow triggers a report to control before the next one is due.
 	reportNow chan struct{}
 
+	// checks tracks the health checks in progress.
+	checks sync.WaitGroup
+
 	// mu guards everything below.
 	mu    sync.Mutex
 	fleet *fleetTable
 	// budgets limit resends; their slack is this instance's share of the common slack.
 	budgets steer.RetryBudgets
 	demand  steer.Demand
-	// tableChanged is closed and replaced after each reply to a report, which may change
-	// the table.
+	// tableChanged is closed and replaced when another target may accept requests: after
+	// each reply to a report and after each health check.
 	tableChanged chan struct{}
 	// controlMembers holds the addresses of the control instances from the last reply.
 	controlMembers []netip.AddrPort
@@ -138,6 +149,7 @@
 		controlConns: link.NewPool(), reportNow: make(chan struct{}, 1), firstConfig: make(chan struct{}), fleet: newFleetTable(),
 		tableChanged: make(chan struct{}), usedAdapters: make(map[string]map[string]bool),
 	}
+	WithDrainBound(defaultDrainBound)(g)
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -181,8 +193,9 @@
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
 
-// Close closes all idle connections.
+// Close waits for the health checks in progress and closes all idle connections.
 func (g *Gateway) Close() error {
+	g.checks.Wait()
 	_ = g.targetConns.Close()
 	return g.controlConns.Close()
 }
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -30,7 +30,7 @@
 
 var testHeaders = Headers{
 	RequestID: "T-Id", Deadline: "T-Deadline", Target: "T-Target", NotRun: "T-Not-Run", Seal: "T-Seal",
-	Priority: "T-Priority", Reserved: []string{"T-Target", "T-Hold"},
+	Priority: "T-Priority", Instance: "T-Instance", Reserved: []string{"T-Target", "T-Hold"},
 }
 
 // fakeControl replies to reports with a fixed target table and a configuration.
@@ -142,9 +142,17 @@
 	return append([]receivedRequest(nil), f.received...)
 }
 
+// testT is the part of *testing.T and *rapid.T that a fixture uses.
+type testT interface {
+	assert.TestingT
+	Helper()
+	Cleanup(fn func())
+	Context() context.Context
+}
+
 // fixture runs a Gateway between a client, fake targets and a fake control.
 type fixture struct {
-	t       *testing.T
+	t       testT
 	gateway *Gateway
 	front   *httptest.Server
 	control *fakeControl
@@ -162,7 +170,7 @@
 }
 
 // newFixture starts a Gateway with one target per handler. All targets hold model m.
-func newFixture(t *testing.T, service string, handlers ...http.HandlerFunc) *fixture {
+func newFixture(t testT, service string, handlers ...http.HandlerFunc) *fixture {
 	t.Helper()
 	fx := &fixture{t: t, control: &fakeControl{version: 5}}
 	for i, h := range handlers {
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -63,6 +63,8 @@
 	// fallback is the server error of a target, to be sent if no other target gives a
 	// better response.
 	fallback *bufferedResponse
+	// confirming is true while the request waits for the health check of a target.
+	confirming bool
 	// counted is true once the request was counted as demand for its model.
 	counted bool
 	// headerSent is true once the response header was written to the client.
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -78,6 +78,7 @@
 	if err != nil {
 		g.requeueReport(req)
 		g.metrics.recordLostReport(g.contact.Age())
+		g.logTableAge()
 		return fmt.Errorf("report to control: %w", err)
 	}
 	now := time.Now()
@@ -93,6 +94,10 @@
 	g.applyDocument(doc)
 	g.contact.Answered(sent)
 	g.applyTable(now, reply)
+	if !reply.GetPartial() {
+		g.tableContact.Answered(sent)
+	}
+	g.logTableAge()
 	return nil
 }
 
@@ -178,6 +183,11 @@
 			g.controlMembers = append(g.controlMembers, addr)
 		}
 	}
+	g.notifyTableChange()
+}
+
+// notifyTableChange wakes the requests that wait for a target. The caller holds mu.
+func (g *Gateway) notifyTableChange() {
 	close(g.tableChanged)
 	g.tableChanged = make(chan struct{})
 }
--- a/entry/gate/stale_test.go
+++ b/entry/gate/stale_test.go
@@ -39,7 +39,7 @@
 	found []string
 }
 
-func newDrainWorld(t *testing.T, service string, targets int) *drainWorld {
+func newDrainWorld(t testT, service string, targets int) *drainWorld {
 	w := &drainWorld{acked: make(map[string]time.Duration), unlisted: make(map[string]bool)}
 	var handlers []http.HandlerFunc
 	for i := range targets {
@@ -47,7 +47,8 @@
 	}
 	w.fx = newFixture(t, service, handlers...)
 	w.base = w.fx.gateway.contact.Now()
-	w.fx.gateway.contact.Clock = func() time.Duration { return w.base + w.now() }
+	clock := func() time.Duration { return w.base + w.now() }
+	w.fx.gateway.contact.Clock, w.fx.gateway.tableContact.Clock = clock, clock
 	// The targets that leave first are the cheapest ones, so that every request would go there.
 	for i := range targets {
 		w.fx.control.loads = append(w.fx.control.loads, &wire.TargetLoad{
@@ -140,8 +141,7 @@
 		service := rapid.SampledFrom([]string{"plain", "engines"}).Draw(rt, "service")
 		path := map[string]string{"plain": "/safe/x", "engines": "/stream/x"}[service]
 		const targets = 3
-		w := newDrainWorld(t, service, targets)
-		defer w.fx.front.Close()
+		w := newDrainWorld(rt, service, targets)
 		left := 0
 		for range rapid.IntRange(4, 12).Draw(rt, "steps") {
 			w.advance(time.Duration(rapid.IntRange(0, 1500).Draw(rt, "advance")) * time.Millisecond)
--- a/entry/gate/table.go
+++ b/entry/gate/table.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -10,8 +11,9 @@
 	"bulrushpath.example/lib/wire"
 )
 
-// orphanTimeout is how long targets from the previous leader's table stay in use until the
-// new leader has received their announcements. It exceeds the lease of an announcement.
+// orphanTimeout is how long targets from the previous leader's table are kept until the new
+// leader has received their announcements. It exceeds the lease of an announcement. They may
+// have left meanwhile, and are used only after a health check.
 const orphanTimeout = 8 * time.Second
 
 // fleetTable is this instance's copy of the control leader's target table.
@@ -23,12 +25,14 @@
 	// orphans holds the targets that the current leader has not listed yet, with the
 	// time at which they are removed.
 	orphans map[string]time.Time
+	// confirmations holds the state of the health checks by target id.
+	confirmations map[string]*confirmation
 }
 
 func newFleetTable() *fleetTable {
 	return &fleetTable{
 		targets: make(map[string]*steer.Target), services: make(map[string][]*steer.Target),
-		orphans: make(map[string]time.Time),
+		orphans: make(map[string]time.Time), confirmations: make(map[string]*confirmation),
 	}
 }
 
@@ -74,6 +78,7 @@
 			gone = append(gone, id)
 		}
 	}
+	maps.DeleteFunc(f.confirmations, func(id string, _ *confirmation) bool { return f.targets[id] == nil })
 	f.rebuildServices()
 	f.setOtherLoads(reply.GetLoads())
 	return added, left, gone
--- a/lib/link/contact.go
+++ b/lib/link/contact.go
@@ -50,10 +50,13 @@
 
 // Age returns the time since the last answered call was sent; the maximum duration if
 // there was none.
-func (c *Contact) Age() time.Duration {
+func (c *Contact) Age() time.Duration { return c.AgeAt(c.Now()) }
+
+// AgeAt returns the age as of the given clock.
+func (c *Contact) AgeAt(now time.Duration) time.Duration {
 	at := c.at.Load()
 	if at == 0 {
 		return math.MaxInt64
 	}
-	return c.Now() - time.Duration(at-1)
+	return now - time.Duration(at-1)
 }
