Check the target again right before a request is written

Between the choice of a target and the bytes on its connection lie the fetch of an adapter (0.5 s) and a dial (0.3 s); the table may say by then that the target is leaving, or be too old (DRAIN). The exchange now asks once it has a connection; a request that is withdrawn there counts neither as a send nor as a failure of the target.

--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -42,6 +42,8 @@
 	unreached // unreached
 	// noAdapter: the adapter could not be fetched to the target, so nothing was sent.
 	noAdapter // no adapter
+	// withdrawn: the target turned out not to accept requests right before the send.
+	withdrawn // withdrawn
 	// incomplete: the target may have run the request, and its response is unusable or
 	// incomplete.
 	incomplete // broken
@@ -86,6 +88,8 @@
 			c.tried[choice.Target.ID] = true
 			c.sleep(ctx, fetchRetryDelay)
 			continue
+		case withdrawn:
+			continue
 		case unreached, notRun:
 			c.tried[choice.Target.ID] = true
 		case incomplete:
@@ -153,6 +157,9 @@
 	answer, err := c.gateway.targetConns.Do(ctx, c.dest.Target, connLimit(c.service), c.outbound)
 	if err != nil {
 		var failed *relay.Error
+		if errors.Is(err, errWithdrawn) {
+			return c.resultOrCancelled(ctx, withdrawn), err
+		}
 		if errors.As(err, &failed) && !failed.Sent {
 			return c.resultOrCancelled(ctx, unreached), err
 		}
@@ -224,7 +231,7 @@
 		t.AddFailure(time.Now(), true)
 	case incomplete:
 		t.AddFailure(time.Now(), silent || !hasOutput)
-	case answered, notRun, noAdapter, clientLeft, expired:
+	case answered, notRun, noAdapter, withdrawn, clientLeft, expired:
 	}
 }
 
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -239,6 +239,7 @@
 	c.outbound = &relay.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.forwardedHeader(),
 		Body: body, HasBody: hasBody, IDHeader: c.gateway.headers.RequestID, ID: c.id,
+		BeforeSend: c.checkDestination,
 	}
 	c.service = c.index.Service(c.route.Pick(rand.Float64(), c.hasNoReadyTarget))
 	if c.service == nil {
--- a/entry/gate/result_string.go
+++ b/entry/gate/result_string.go
@@ -12,14 +12,15 @@
 	_ = x[notRun-1]
 	_ = x[unreached-2]
 	_ = x[noAdapter-3]
-	_ = x[incomplete-4]
-	_ = x[clientLeft-5]
-	_ = x[expired-6]
+	_ = x[withdrawn-4]
+	_ = x[incomplete-5]
+	_ = x[clientLeft-6]
+	_ = x[expired-7]
 }
 
-const _result_name = "answerednot rununreachedno adapterbrokenclient leftexpired"
+const _result_name = "answerednot rununreachedno adapterwithdrawnbrokenclient leftexpired"
 
-var _result_index = [...]uint8{0, 8, 15, 24, 34, 40, 51, 58}
+var _result_index = [...]uint8{0, 8, 15, 24, 34, 43, 49, 60, 67}
 
 func (i result) String() string {
 	idx := int(i) - 0
--- a/lib/relay/exchange.go
+++ b/lib/relay/exchange.go
@@ -37,6 +37,9 @@
 	// IDHeader is the name of the header that identifies a request, and ID its value.
 	// Targets echo the header in their responses.
 	IDHeader, ID string
+	// BeforeSend, if set, is called once there is a connection, right before the request is
+	// written. Its error cancels the exchange: nothing is sent.
+	BeforeSend func() error
 }
 
 // Response is the response of a target. Its Body must be closed.
@@ -79,6 +82,12 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			p.discard(c)
+			return nil, &Error{Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
