Count what was spent of the retry slack over restarts and changes of leader

What entry instances had spent within the window was left out of the account: a new leader counted the instances from one on, so that the first to report took the whole slack; the share of an instance that had gone or was cut off passed to the others while its resends still counted; an instance that restarted began with a fresh share; and the oldest tenth of the window was dropped while it still counted, which allowed the slack twice within 9.01 s.

Shares now shrink at once and grow after a window, need contact to control within 2 s, and start a window after the instance. A new leader names no number before it has heard of all live instances. A service that leaves the configuration keeps its count for a window.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -386,7 +386,11 @@
 	f.touchAdapters(now, req.GetLoads())
 	reply := &wire.FleetReply{Protocol: link.Protocol, Term: term, Warm: f.table.Warm(now)}
 	reply.Targets, reply.TableVersion, reply.Whole = f.table.Since(req.GetTerm(), req.GetTableVersion(), maxTargetsPerReply)
-	reply.Loads, reply.Entries = f.loads.others(req.GetLoads()), uint32(len(f.entries))
+	reply.Loads = f.loads.others(req.GetLoads())
+	if now.Sub(f.termStart) >= entryLease {
+		// Earlier, live instances may not have reported to this leader yet.
+		reply.Entries = uint32(len(f.entries))
+	}
 	reply.ReportMillis = uint32(reportPeriod(len(f.entries)).Milliseconds())
 	if _, version := f.table.Version(); version > reply.GetTableVersion() {
 		reply.ReportMillis = uint32(partialTablePeriod.Milliseconds())
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -56,7 +56,7 @@
 // dispatch sends the request until a response is complete or no resend is allowed.
 func (c *call) dispatch(ctx context.Context) *failure {
 	c.gateway.mu.Lock()
-	c.gateway.budgets.Of(c.service.Name).CountRequest(c.arrivedAt)
+	c.gateway.budgets.CountRequest(c.arrivedAt, c.service.Name)
 	c.gateway.mu.Unlock()
 	sends, fetches := 0, 0
 	for {
@@ -117,7 +117,7 @@
 	}
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
-	return c.gateway.budgets.Of(c.service.Name).TryRetry(time.Now())
+	return c.gateway.budgets.TryRetry(time.Now(), c.service.Name)
 }
 
 func (c *call) retryLimitFailure() *failure {
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -100,8 +100,8 @@
 	// mu guards everything below.
 	mu    sync.Mutex
 	fleet *fleetTable
-	// budgets limit resends; their slack is this instance's share of the common slack.
-	budgets steer.RetryBudgets
+	// budgets limit the resends of this instance.
+	budgets *steer.RetryBudgets
 	demand  steer.Demand
 	// tableChanged is closed and replaced when another target may accept requests: after
 	// each reply to a report and after each health check.
@@ -156,23 +156,17 @@
 	if g.targetConns == nil {
 		g.targetConns = relay.NewPool()
 	}
-	g.setRetryLimit(1)
+	g.budgets = steer.NewRetryBudgets(time.Now(), steer.RetryLimit{
+		Ratio: g.retryLimit.Ratio * retryLimitFraction, Slack: g.retryLimit.Slack * retryLimitFraction,
+		Window: g.retryLimit.Window,
+	})
 	return g
 }
 
-// retryLimitFraction is the fraction of the retry limit that is used. The rest is a
-// reserve, because an instance that restarts loses its count of resends.
+// retryLimitFraction is the fraction of the retry limit that is used. The rest is a reserve
+// for resends that this system does not see: those of targets that call other services.
 const retryLimitFraction = 0.7
 
-// setRetryLimit sets this instance's share of the retry limit for the given number of
-// entry instances. The caller holds mu or has exclusive access to g.
-func (g *Gateway) setRetryLimit(entries int) {
-	g.budgets.SetLimit(steer.RetryLimit{
-		Ratio: g.retryLimit.Ratio * retryLimitFraction, Window: g.retryLimit.Window,
-		Slack: g.retryLimit.Slack * retryLimitFraction / float64(max(entries, 1)),
-	})
-}
-
 // Run reports to control and removes stale connections until ctx is cancelled. Then it
 // tells control that the instance is leaving.
 func (g *Gateway) Run(ctx context.Context) {
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -220,6 +220,7 @@
 	}
 	fx.gateway = New(p, testHeaders, describe, decode, func() []netip.AddrPort { return []netip.AddrPort{srv.Addr()} },
 		WithRetryLimit(steer.RetryLimit{Ratio: 1, Slack: 50, Window: time.Second}))
+	fx.establishBudgets(fx.gateway.retryLimit)
 	assert.NilError(t, fx.gateway.report(t.Context()))
 	fx.front = httptest.NewServer(fx.gateway)
 	t.Cleanup(func() {
@@ -229,6 +230,16 @@
 	return fx
 }
 
+// establishBudgets replaces the retry budgets by those of an instance that has run for a
+// window, alone.
+func (fx *fixture) establishBudgets(limit steer.RetryLimit) {
+	now := time.Now()
+	fx.gateway.mu.Lock()
+	defer fx.gateway.mu.Unlock()
+	fx.gateway.budgets = steer.NewRetryBudgets(now.Add(-limit.Window), limit)
+	fx.gateway.budgets.SetInstances(now, 1)
+}
+
 // do sends a request through the Gateway and reads the response.
 func (fx *fixture) do(ctx context.Context, method, path, body string, change func(r *http.Request)) (*http.Response, string, error) {
 	fx.t.Helper()
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -152,7 +152,7 @@
 	index := site.NewIndex(cfg)
 	g.index.Store(index)
 	g.mu.Lock()
-	g.budgets.Retain(func(service string) bool { return index.Service(service) != nil })
+	g.budgets.Retain(time.Now(), func(service string) bool { return index.Service(service) != nil })
 	g.mu.Unlock()
 	if current == 0 {
 		close(g.firstConfig)
@@ -171,7 +171,7 @@
 			Uint64("version", reply.GetTableVersion()).Strs("added", added).Strs("leaving", left).
 			Strs("gone", gone).Msg("")
 	}
-	g.setRetryLimit(int(reply.GetEntries()))
+	g.budgets.SetInstances(now, int(reply.GetEntries()))
 	g.applyCached(reply)
 	if n := g.suspects.apply(now, reply.GetSuspects()); n > 0 {
 		g.log.Warn().Str("event", "suspectsChanged").Uint64("term", reply.GetTerm()).Int("news", n).
