Charge each resend to the retry budget where it is written

Resends to a target that had to fetch the adapter first were not charged (BUDGET): a request for an adapter reached one target after the other. And a send that reached nobody was charged, though it is no arrival. The charge now happens when a connection is there, if an earlier send may have arrived.

--- a/entry/gate/budget_test.go
+++ b/entry/gate/budget_test.go
@@ -51,3 +51,27 @@
 	assert.Assert(t, arrivals-requests <= requests/5+2, "%d arrivals beyond the first", arrivals-requests)
 	assert.Assert(t, arrivals > requests, "no request was sent again")
 }
+
+// Guards against resends that the budget does not see (BUDGET): those to a target that had to
+// fetch the adapter first were not charged. A target that could not be reached got nothing.
+func TestResendsAfterAFetchAreCharged(t *testing.T) {
+	shed := respondNotRun(http.StatusServiceUnavailable)
+	fx := newFixture(t, "engines", shed, shed, shed, shed, shed)
+	fx.targets[0].srv.Close()
+	fx.establishBudgets(steer.RetryLimit{Ratio: 0.2, Slack: 2, Window: time.Minute})
+	const requests = 10
+	for n := range requests {
+		res, _, err := fx.do(t.Context(), http.MethodPost, "/stream/1", "x", func(r *http.Request) {
+			r.Header.Set("T-Model", fmt.Sprint("m/a", n))
+			r.Header.Set("T-Deadline", "500")
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+	}
+	arrivals := 0
+	for _, target := range fx.targets {
+		arrivals += len(target.requests())
+	}
+	assert.Assert(t, arrivals-requests <= requests/5+2, "%d arrivals beyond the first", arrivals-requests)
+	assert.Assert(t, arrivals > requests, "no request was sent again")
+}
--- a/entry/gate/confirm.go
+++ b/entry/gate/confirm.go
@@ -27,7 +27,6 @@
 )
 
 var (
-	errWithdrawn  = errors.New("the target is leaving, or the table that lists it is too old")
 	errNoHealth   = errors.New("the service has no health check")
 	errNotHealthy = errors.New("the target did not confirm that it accepts requests")
 )
@@ -66,20 +65,6 @@
 	return c != nil && c.confirmed && c.startedAt.Equal(t.StartedAt) && clock-c.sentAt <= g.maxTableAge
 }
 
-// checkDestination returns an error if the target of the current send must not get new
-// requests any more. It is called right before the send: a fetch of an adapter or a dial may
-// have taken long.
-func (c *call) checkDestination() error {
-	g := c.gateway
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	t := g.fleet.targets[c.dest.ID]
-	if t == nil || !t.Ready || !t.StartedAt.Equal(c.dest.startedAt) || !g.acceptsWork(g.tableContact.Now(), t) {
-		return errWithdrawn
-	}
-	return nil
-}
-
 // confirmTarget sends a health check to the target that is best for the request among those
 // for which the table is too old. It returns false if there is none. The caller holds mu.
 func (c *call) confirmTarget(now time.Time, clock time.Duration, targets []*steer.Target) bool {
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	// maxSends is the maximum number of sends of one request, including those that
-	// were not run. Neither it nor the retry budget limits resends to a target that must
-	// fetch the adapter first.
+	// maxSends is the maximum number of sends of one request, including those that were not
+	// run or did not reach their target.
 	maxSends = 6
 	// resendDelay is the delay before a request that a target did not run is resent.
 	resendDelay = 25 * time.Millisecond
@@ -44,6 +43,8 @@
 	noAdapter // no adapter
 	// withdrawn: the target turned out not to accept requests right before the send.
 	withdrawn // withdrawn
+	// overBudget: the retry budget allows no resend.
+	overBudget // over budget
 	// incomplete: the target may have run the request, and its response is unusable or
 	// incomplete.
 	incomplete // broken
@@ -64,7 +65,7 @@
 		if f != nil {
 			return f
 		}
-		if sends > 0 && !choice.NeedsAdapter && !c.takeResend(sends) {
+		if sends >= maxSends {
 			c.releaseTarget(choice)
 			return c.retryLimitFailure()
 		}
@@ -90,6 +91,8 @@
 			continue
 		case withdrawn:
 			continue
+		case overBudget:
+			return c.retryLimitFailure()
 		case unreached, notRun:
 			c.tried[choice.Target.ID] = true
 		case incomplete:
@@ -110,16 +113,6 @@
 	}
 }
 
-// takeResend reports whether another send is allowed, and charges it to the retry budget.
-func (c *call) takeResend(sends int) bool {
-	if sends >= maxSends {
-		return false
-	}
-	c.gateway.mu.Lock()
-	defer c.gateway.mu.Unlock()
-	return c.gateway.budgets.TryRetry(time.Now(), c.service.Name)
-}
-
 func (c *call) retryLimitFailure() *failure {
 	if c.incompleteAttempts > 0 || c.headerSent {
 		return &failure{status: http.StatusBadGateway, reason: "answer incomplete and no resend left"}
@@ -157,8 +150,11 @@
 	answer, err := c.gateway.targetConns.Do(ctx, c.dest.Target, connLimit(c.service), c.outbound)
 	if err != nil {
 		var failed *relay.Error
-		if errors.Is(err, errWithdrawn) {
+		switch {
+		case errors.Is(err, errWithdrawn):
 			return c.resultOrCancelled(ctx, withdrawn), err
+		case errors.Is(err, errOverBudget):
+			return c.resultOrCancelled(ctx, overBudget), err
 		}
 		if errors.As(err, &failed) && !failed.Sent {
 			return c.resultOrCancelled(ctx, unreached), err
@@ -231,7 +227,7 @@
 		t.AddFailure(time.Now(), true)
 	case incomplete:
 		t.AddFailure(time.Now(), silent || !hasOutput)
-	case answered, notRun, noAdapter, withdrawn, clientLeft, expired:
+	case answered, notRun, noAdapter, withdrawn, overBudget, clientLeft, expired:
 	}
 }
 
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -51,6 +51,8 @@
 	arrivedAt time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
 	deadline time.Time
+	// arrivals counts the sends of which a target may have received a part.
+	arrivals int
 	// attempts counts the sends after which a target may have run the request.
 	attempts int
 	// incompleteAttempts counts the attempts that ended without a complete response.
@@ -239,7 +241,7 @@
 	c.outbound = &relay.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.forwardedHeader(),
 		Body: body, HasBody: hasBody, IDHeader: c.gateway.headers.RequestID, ID: c.id,
-		BeforeSend: c.checkDestination,
+		BeforeSend: c.beforeSend,
 	}
 	c.service = c.index.Service(c.route.Pick(rand.Float64(), c.hasNoReadyTarget))
 	if c.service == nil {
--- a/entry/gate/result_string.go
+++ b/entry/gate/result_string.go
@@ -13,14 +13,15 @@
 	_ = x[unreached-2]
 	_ = x[noAdapter-3]
 	_ = x[withdrawn-4]
-	_ = x[incomplete-5]
-	_ = x[clientLeft-6]
-	_ = x[expired-7]
+	_ = x[overBudget-5]
+	_ = x[incomplete-6]
+	_ = x[clientLeft-7]
+	_ = x[expired-8]
 }
 
-const _result_name = "answerednot rununreachedno adapterwithdrawnbrokenclient leftexpired"
+const _result_name = "answerednot rununreachedno adapterwithdrawnover budgetbrokenclient leftexpired"
 
-var _result_index = [...]uint8{0, 8, 15, 24, 34, 43, 49, 60, 67}
+var _result_index = [...]uint8{0, 8, 15, 24, 34, 43, 54, 60, 71, 78}
 
 func (i result) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/entry/gate/send.go
@@ -0,0 +1,30 @@
+package gate
+
+import (
+	"errors"
+	"time"
+)
+
+var (
+	errWithdrawn  = errors.New("the target is leaving, or the table that lists it is too old")
+	errOverBudget = errors.New("the retry budget allows no resend")
+)
+
+// beforeSend is called right before the request is written to a connection. It returns an
+// error if the target must not get new requests any more, which may have changed during the
+// fetch of an adapter or a dial, or if the request would be a resend that the retry budget
+// does not allow.
+func (c *call) beforeSend() error {
+	g := c.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.fleet.targets[c.dest.ID]
+	if t == nil || !t.Ready || !t.StartedAt.Equal(c.dest.startedAt) || !g.acceptsWork(g.tableContact.Now(), t) {
+		return errWithdrawn
+	}
+	if c.arrivals > 0 && !g.budgets.TryRetry(time.Now(), c.service.Name) {
+		return errOverBudget
+	}
+	c.arrivals++
+	return nil
+}
