Keep targets to the limits that they name

Targets in need name in their answers how many requests a second they take from all instances together (Server-Limit).

The control leader reserves a turn for each send to such a target (lib/quota): at the limit, after a pause up to three at once, and for requests that no other target takes in time up to 1.25 times the limit and 0.5 a second, which stays under what the users tolerate. Without an answer of the leader nothing is sent there; a new leader begins with no turn left. Entry instances report limits, get those of others with the replies, weigh a target by its next turn, wait for it at most half of the objective, and otherwise refuse at once with the time of the turn. The planner counts copies at limited engines by the share of their requests that these take. A limit ends by an answer without one; zero is asked again every 5 s; an unreadable figure is logged and changes nothing.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -15,6 +15,7 @@
 	"bulrushpath.example/lib/fleet"
 	"bulrushpath.example/lib/link"
 	"bulrushpath.example/lib/poison"
+	"bulrushpath.example/lib/quota"
 	"bulrushpath.example/lib/scale"
 	"bulrushpath.example/lib/site"
 	"bulrushpath.example/lib/wire"
@@ -94,6 +95,8 @@
 	lostRequests poison.LossCounter
 	// lostParts counts the same for each part of a prompt.
 	lostParts poison.PartCounter
+	// pacer spaces the sends to targets that have named a limit.
+	pacer quota.Pacer
 	// doubtful holds the targets that the last run of the planners ignored because
 	// they are probably gone.
 	doubtful map[string]bool
@@ -155,6 +158,7 @@
 	f.entries = make(map[string]*entryState)
 	f.prompts = promptLog{}
 	f.lostRequests, f.lostParts, f.doubtful = poison.LossCounter{}, poison.PartCounter{}, nil
+	f.pacer = quota.Pacer{}
 	f.loads = loadTotals{sums: make(map[string]*wire.TargetLoad)}
 	f.table = fleet.NewTable(now, term, f.modelRecords)
 }
@@ -396,6 +400,7 @@
 		reply.ReportMillis = uint32(partialTablePeriod.Milliseconds())
 		reply.Partial = true
 	}
+	f.exchangeLimits(now, req, reply)
 	f.addDocument(req, reply)
 	reply.Control = f.controlAddrs
 	reply.Suspects = f.recordLostRequests(now, req)
@@ -469,6 +474,7 @@
 			f.log.Warn().Str("event", "entrySilent").Str("entry", name).Dur("lease", entryLease).Msg("")
 		}
 	}
+	f.dropLimits(now)
 	f.loads.rank()
 	f.metrics.entries.Update(float64(len(f.entries)))
 	live := f.table.Live()
@@ -503,6 +509,7 @@
 			sum := out[d.GetModel()]
 			sum.Work += d.GetWorkMicrosPerSecond() / 1e6
 			sum.Waiting += int(d.GetWaiting())
+			sum.Requests += d.GetRequestsPerSecond()
 			out[d.GetModel()] = sum
 		}
 	}
--- /dev/null
+++ b/control/quota.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"bulrushpath.example/lib/quota"
+	"bulrushpath.example/lib/wire"
+)
+
+// Permit reserves a time for one send to a target that has named a limit.
+func (f *Fleet) Permit(ctx context.Context, req *wire.PermitRequest) (reply *wire.PermitReply, err error) {
+	_, end, err := f.svc.begin(ctx, "Permit", req.GetProtocol())
+	if err != nil {
+		return nil, err
+	}
+	defer func() { end(err) }()
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, err := f.requireLeader(); err != nil {
+		return nil, err
+	}
+	l := quota.FromWire(now, req.GetLimit())
+	f.pacer.Observe(now, l)
+	maxWait := time.Duration(req.GetMaxWaitMicros()) * time.Microsecond
+	return f.pacer.Reserve(now, l.Target, l.StartedAt, maxWait, req.GetLastResort()).ToWire(), nil
+}
+
+// exchangeLimits records the limits in a report and adds the current ones to the reply if
+// the instance does not hold them. The caller holds mu.
+func (f *Fleet) exchangeLimits(now time.Time, req *wire.FleetRequest, reply *wire.FleetReply) {
+	for _, l := range req.GetLimits() {
+		f.pacer.Observe(now, quota.FromWire(now, l))
+	}
+	reply.LimitsVersion = f.pacer.Version()
+	if req.GetTerm() == f.term && req.GetLimitsVersion() == reply.GetLimitsVersion() {
+		return
+	}
+	for _, l := range f.pacer.Limits() {
+		reply.Limits = append(reply.Limits, l.ToWire(now))
+	}
+}
+
+// dropLimits removes the limits of target processes that are not in the table any more. The
+// caller holds mu.
+func (f *Fleet) dropLimits(now time.Time) {
+	f.pacer.Retain(now, func(target string, startedAt time.Time) bool {
+		a, known := f.table.Lookup(target)
+		return known && a.Born.Equal(startedAt)
+	})
+}
--- a/entry/gate/choose.go
+++ b/entry/gate/choose.go
@@ -41,13 +41,16 @@
 	for {
 		now := time.Now()
 		g.mu.Lock()
-		choice, until := c.selectTarget(now)
+		choice, until, f := c.selectTarget(now)
 		changed := g.tableChanged
-		if choice.Target == nil && !waiting && c.prompt.Model != "" {
+		if f == nil && choice.Target == nil && !waiting && c.prompt.Model != "" {
 			waiting = true
 			g.demand.AddWaiting(now, c.prompt.Model, 1)
 		}
 		g.mu.Unlock()
+		if f != nil {
+			return choice, f
+		}
 		if choice.Target != nil {
 			return choice, c.checkOverload(now, choice)
 		}
@@ -69,8 +72,9 @@
 
 // selectTarget selects a target and adds the request to its load. If there is none, until
 // is the time at which a load of the model is expected to finish, or zero if no target is
-// loading it. The caller holds mu.
-func (c *call) selectTarget(now time.Time) (choice steer.Choice, until time.Time) {
+// loading it. It fails if the targets of the model have named limits and take no further
+// request in time. The caller holds mu.
+func (c *call) selectTarget(now time.Time) (choice steer.Choice, until time.Time, f *failure) {
 	g := c.gateway
 	targets := g.fleet.services[c.service.Name]
 	s := c.selection()
@@ -84,9 +88,12 @@
 		choice = steer.Pick(now, s, &c.prompt, targets, skip)
 	}
 	c.countDemand(now, choice)
+	if c.outOfTurn(now, choice.Target) {
+		return steer.Choice{}, time.Time{}, c.limitFailure()
+	}
 	if choice.Target == nil {
 		until, _ = steer.LoadingUntil(c.prompt.Model, targets)
-		return choice, until
+		return choice, until, nil
 	}
 	t := choice.Target
 	c.dest = destination{Target: relay.Target{ID: t.ID, Addr: t.Addr}, startedAt: t.StartedAt}
@@ -100,7 +107,7 @@
 	}
 	c.record.target, c.record.expectedWait = choice.Target.ID, choice.Wait
 	c.record.prefillTokens, c.record.candidates = choice.PrefillTokens, choice.Candidates
-	return choice, time.Time{}
+	return choice, time.Time{}, nil
 }
 
 // countDemand counts the request once as demand for its model. A request counts even if
--- a/entry/gate/confirm.go
+++ b/entry/gate/confirm.go
@@ -66,13 +66,14 @@
 }
 
 // confirmTarget sends a health check to the target that is best for the request among those
-// for which the table is too old. It returns false if there is none. The caller holds mu.
+// for which the table is too old. A target with a limit needs a permit of control in any case.
+// It returns false if there is none. The caller holds mu.
 func (c *call) confirmTarget(now time.Time, clock time.Duration, targets []*steer.Target) bool {
 	g := c.gateway
 	choice := steer.Pick(now, c.selection(), &c.prompt, targets, func(t *steer.Target) bool {
 		x := g.fleet.confirmations[t.ID]
 		failed := x != nil && x.startedAt.Equal(t.StartedAt) && now.Before(x.failedUntil)
-		return c.tried[t.ID] || failed || g.acceptsWork(clock, t)
+		return c.tried[t.ID] || failed || t.Limit > 0 || g.acceptsWork(clock, t)
 	})
 	t := choice.Target
 	if t == nil {
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -43,6 +43,8 @@
 	noAdapter // no adapter
 	// withdrawn: the target turned out not to accept requests right before the send.
 	withdrawn // withdrawn
+	// noPermit: the target has named a limit and takes no further request in time.
+	noPermit // no permit
 	// overBudget: the retry budget allows no resend.
 	overBudget // over budget
 	// incomplete: the target may have run the request, and its response is unusable or
@@ -89,7 +91,7 @@
 			c.tried[choice.Target.ID] = true
 			c.sleep(ctx, fetchRetryDelay)
 			continue
-		case withdrawn:
+		case withdrawn, noPermit:
 			continue
 		case overBudget:
 			return c.retryLimitFailure()
@@ -134,7 +136,7 @@
 	}
 }
 
-// send sends the request to the chosen target and forwards its response.
+// send prepares the chosen target for the request, sends it and forwards the response.
 func (c *call) send(ctx context.Context, choice steer.Choice) (res result, err error) {
 	t := choice.Target
 	c.hasOutput = false
@@ -144,29 +146,53 @@
 			return c.resultOrCancelled(ctx, noAdapter), err
 		}
 	}
+	if err := c.awaitPermit(ctx, choice); err != nil {
+		return c.resultOrCancelled(ctx, noPermit), err
+	}
 	c.recordAdapterUse(t)
 	c.setSendHeaders()
 	sentAt := time.Now()
 	answer, err := c.gateway.targetConns.Do(ctx, c.dest.Target, connLimit(c.service), c.outbound)
 	if err != nil {
-		var failed *relay.Error
-		switch {
-		case errors.Is(err, errWithdrawn):
-			return c.resultOrCancelled(ctx, withdrawn), err
-		case errors.Is(err, errOverBudget):
-			return c.resultOrCancelled(ctx, overBudget), err
-		}
-		if errors.As(err, &failed) && !failed.Sent {
-			return c.resultOrCancelled(ctx, unreached), err
+		res := sendFailure(err)
+		if res == incomplete {
+			c.attempts++
 		}
-		c.attempts++
-		return c.resultOrCancelled(ctx, incomplete), err
+		return c.resultOrCancelled(ctx, res), err
 	}
 	defer func() { _ = answer.Body.Close() }()
+	c.observeLimit(answer)
 	if answer.Header.Get(c.gateway.headers.NotRun) != "" || answer.Status == http.StatusMisdirectedRequest {
 		return notRun, errors.New("target answered " + strconv.Itoa(answer.Status) + ", not run")
 	}
 	c.attempts++
+	if err := c.forward(choice, answer, sentAt); err != nil {
+		return c.resultOrCancelled(ctx, incomplete), err
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		c.gateway.mu.Lock()
+		t.AddFailure(time.Now(), false)
+		c.gateway.mu.Unlock()
+	}
+	return answered, nil
+}
+
+// sendFailure returns the outcome of a send that ended without the header of a response.
+func sendFailure(err error) result {
+	var failed *relay.Error
+	switch {
+	case errors.Is(err, errWithdrawn):
+		return withdrawn
+	case errors.Is(err, errOverBudget):
+		return overBudget
+	case errors.As(err, &failed) && !failed.Sent:
+		return unreached
+	}
+	return incomplete
+}
+
+// forward forwards the response of the chosen target to the client.
+func (c *call) forward(choice steer.Choice, answer *relay.Response, sentAt time.Time) error {
 	// onFirstOutput may be called for each output; only the first call has an effect.
 	onFirstOutput := func() {
 		if c.hasOutput {
@@ -177,7 +203,7 @@
 		defer c.gateway.mu.Unlock()
 		c.clearParts()
 		now := time.Now()
-		t.AddFirstOutput(now, now.Sub(sentAt), choice.Base, choice.PrefillTokens)
+		choice.Target.AddFirstOutput(now, now.Sub(sentAt), choice.Base, choice.PrefillTokens)
 		if c.record.firstOutput == 0 {
 			c.record.firstOutput = now.Sub(c.arrivedAt)
 			c.gateway.metrics.recordFirstOutput(c.record.firstOutput)
@@ -185,23 +211,13 @@
 	}
 	switch {
 	case c.route.Kind == site.Stream && answer.Status == http.StatusOK:
-		err = c.forwardStream(t, answer, onFirstOutput)
+		return c.forwardStream(choice.Target, answer, onFirstOutput)
 	case c.headerSent:
 		// The client has received the beginning of a stream, which a response with
 		// another status cannot continue.
-		err = fmt.Errorf("resumed stream answered with status %d", answer.Status)
-	default:
-		err = c.forwardBuffered(answer, onFirstOutput)
-	}
-	if err != nil {
-		return c.resultOrCancelled(ctx, incomplete), err
+		return fmt.Errorf("resumed stream answered with status %d", answer.Status)
 	}
-	if answer.Status >= http.StatusInternalServerError {
-		c.gateway.mu.Lock()
-		t.AddFailure(time.Now(), false)
-		c.gateway.mu.Unlock()
-	}
-	return answered, nil
+	return c.forwardBuffered(answer, onFirstOutput)
 }
 
 // resultOrCancelled returns clientLeft if the client has closed its connection, expired if
@@ -227,7 +243,7 @@
 		t.AddFailure(time.Now(), true)
 	case incomplete:
 		t.AddFailure(time.Now(), silent || !hasOutput)
-	case answered, notRun, noAdapter, withdrawn, overBudget, clientLeft, expired:
+	case answered, notRun, noAdapter, withdrawn, noPermit, overBudget, clientLeft, expired:
 	}
 }
 
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -16,6 +16,7 @@
 
 	"bulrushpath.example/lib/daemon"
 	"bulrushpath.example/lib/link"
+	"bulrushpath.example/lib/quota"
 	"bulrushpath.example/lib/relay"
 	"bulrushpath.example/lib/site"
 	"bulrushpath.example/lib/steer"
@@ -45,6 +46,9 @@
 	NotRun string
 	// Priority holds the scheduling priority of a request at an engine; 0 is the highest.
 	Priority string
+	// Limit holds the number of requests per second that a target takes from all entry
+	// instances together; empty if targets name none.
+	Limit string
 	// CopyFrom holds the address of the target from which the prompt cache is copied.
 	CopyFrom string
 	// Instance holds the id of the target in the answer to a health check.
@@ -117,6 +121,8 @@
 	cachedSequence uint64
 	// suspects holds requests that are suspected of crashing targets.
 	suspects suspects
+	// limits holds the limits that targets have named.
+	limits quota.Book
 	// usedAdapters holds the adapters used since the last report, by target id.
 	usedAdapters map[string]map[string]bool
 }
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -30,7 +30,7 @@
 
 var testHeaders = Headers{
 	RequestID: "T-Id", Deadline: "T-Deadline", Target: "T-Target", NotRun: "T-Not-Run", Seal: "T-Seal",
-	Priority: "T-Priority", Instance: "T-Instance", Reserved: []string{"T-Target", "T-Hold"},
+	Priority: "T-Priority", Instance: "T-Instance", Limit: "T-Limit", Reserved: []string{"T-Target", "T-Hold"},
 }
 
 // fakeControl replies to reports with a fixed target table and a configuration.
@@ -52,6 +52,10 @@
 	beforeReply func() error
 	// loads holds the loads in each reply.
 	loads []*wire.TargetLoad
+	// permit, if set, answers requests for permits; nil is an error.
+	permit func(req *wire.PermitRequest) *wire.PermitReply
+	// limits holds the reported limits by target.
+	limits map[string]*wire.TargetLimit
 	// beforeFetch, if set, runs before an adapter is fetched.
 	beforeFetch func()
 }
@@ -62,6 +66,21 @@
 	c.beforeReply = before
 }
 
+func (c *fakeControl) setPermit(permit func(req *wire.PermitRequest) *wire.PermitReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.permit = permit
+}
+
+func (c *fakeControl) Permit(_ context.Context, req *wire.PermitRequest) (*wire.PermitReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reply := c.permit(req); reply != nil {
+		return reply, nil
+	}
+	return nil, errors.New("no permit")
+}
+
 func (c *fakeControl) setFetch(before func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -102,6 +121,12 @@
 	for _, fp := range req.GetCompleted() {
 		c.parts.RecordCompletion(poison.Fingerprint(fp))
 	}
+	for _, l := range req.GetLimits() {
+		if c.limits == nil {
+			c.limits = make(map[string]*wire.TargetLimit)
+		}
+		c.limits[l.GetTarget()] = l
+	}
 	r.Suspects = append(c.count.Suspects(time.Now()), c.parts.Suspects(time.Now())...)
 	if req.GetDocumentVersion() < c.version {
 		r.Document = &wire.Document{Version: c.version, Content: []byte("x")}
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -51,6 +51,15 @@
 	arrivedAt time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
 	deadline time.Time
+	// permitted is true if the current send has a permit, which a target with a limit needs.
+	permitted bool
+	// permitRequests counts the permits for which the request has asked, and retryAfter is
+	// the wait for the next one as of the latest refusal.
+	permitRequests int
+	retryAfter     time.Duration
+	// lastResort is true if the best target has named a limit and the request would have to
+	// wait for too long there.
+	lastResort bool
 	// arrivals counts the sends of which a target may have received a part.
 	arrivals int
 	// attempts counts the sends after which a target may have run the request.
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bulrushpath.example/lib/link"
+	"bulrushpath.example/lib/quota"
 	"bulrushpath.example/lib/site"
 	"bulrushpath.example/lib/steer"
 	"bulrushpath.example/lib/wire"
@@ -69,7 +70,8 @@
 
 // report sends this instance's observations to control and applies the reply.
 func (g *Gateway) report(ctx context.Context) error {
-	req, sent := g.buildReport(), g.contact.Now()
+	req, limits := g.buildReport()
+	sent := g.contact.Now()
 	var reply *wire.FleetReply
 	err := g.callControl(ctx, reportTimeout, func(ctx context.Context, c wire.DRPCFleetClient) (err error) {
 		reply, err = c.Report(ctx, req)
@@ -93,7 +95,7 @@
 	}
 	g.applyDocument(doc)
 	g.contact.Answered(sent)
-	g.applyTable(now, reply)
+	g.applyTable(now, limits, reply)
 	if !reply.GetPartial() {
 		g.tableContact.Answered(sent)
 	}
@@ -101,7 +103,8 @@
 	return nil
 }
 
-func (g *Gateway) buildReport() *wire.FleetRequest {
+// buildReport returns the next report and the limits of targets that it contains.
+func (g *Gateway) buildReport() (*wire.FleetRequest, []quota.Limit) {
 	now := time.Now()
 	req := &wire.FleetRequest{Protocol: link.Protocol, Name: g.name, Zone: g.zone, AcceptPacked: true}
 	if x := g.index.Load(); x != nil {
@@ -117,7 +120,12 @@
 	g.cached = nil
 	req.Lost, req.Completed = g.suspects.lost, g.suspects.completed
 	g.suspects.lost, g.suspects.completed = nil, nil
-	return req
+	limits := g.limits.Unreported()
+	for _, l := range limits {
+		req.Limits = append(req.Limits, l.ToWire(now))
+	}
+	req.LimitsVersion = g.limits.Version()
+	return req, limits
 }
 
 // requeueReport queues the entries of a failed report that no other report contains, so
@@ -161,7 +169,7 @@
 		Uint64("replaced", current).Int("routes", len(cfg.Routes)).Msg("")
 }
 
-func (g *Gateway) applyTable(now time.Time, reply *wire.FleetReply) {
+func (g *Gateway) applyTable(now time.Time, sent []quota.Limit, reply *wire.FleetReply) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	term := g.fleet.term
@@ -171,6 +179,7 @@
 			Uint64("version", reply.GetTableVersion()).Strs("added", added).Strs("leaving", left).
 			Strs("gone", gone).Msg("")
 	}
+	g.mergeLimits(now, term != reply.GetTerm(), sent, reply)
 	g.budgets.SetInstances(now, int(reply.GetEntries()))
 	g.applyCached(reply)
 	if n := g.suspects.apply(now, reply.GetSuspects()); n > 0 {
--- a/entry/gate/result_string.go
+++ b/entry/gate/result_string.go
@@ -13,15 +13,16 @@
 	_ = x[unreached-2]
 	_ = x[noAdapter-3]
 	_ = x[withdrawn-4]
-	_ = x[overBudget-5]
-	_ = x[incomplete-6]
-	_ = x[clientLeft-7]
-	_ = x[expired-8]
+	_ = x[noPermit-5]
+	_ = x[overBudget-6]
+	_ = x[incomplete-7]
+	_ = x[clientLeft-8]
+	_ = x[expired-9]
 }
 
-const _result_name = "answerednot rununreachedno adapterwithdrawnover budgetbrokenclient leftexpired"
+const _result_name = "answerednot rununreachedno adapterwithdrawnno permitover budgetbrokenclient leftexpired"
 
-var _result_index = [...]uint8{0, 8, 15, 24, 34, 43, 54, 60, 71, 78}
+var _result_index = [...]uint8{0, 8, 15, 24, 34, 43, 52, 63, 69, 80, 87}
 
 func (i result) String() string {
 	idx := int(i) - 0
--- a/entry/gate/send.go
+++ b/entry/gate/send.go
@@ -19,7 +19,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.fleet.targets[c.dest.ID]
-	if t == nil || !t.Ready || !t.StartedAt.Equal(c.dest.startedAt) || !g.acceptsWork(g.tableContact.Now(), t) {
+	withdrawn := t == nil || !t.Ready || !t.StartedAt.Equal(c.dest.startedAt) ||
+		!g.acceptsWork(g.tableContact.Now(), t)
+	if withdrawn || t.Limit > 0 && !c.permitted {
 		return errWithdrawn
 	}
 	if c.arrivals > 0 && !g.budgets.TryRetry(time.Now(), c.service.Name) {
--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -56,6 +56,9 @@
 	// rest is a margin for loads that start seconds after their order because a response
 	// was lost.
 	storeRateShare = 0.95
+	// limitedPlacementCost is the placement cost at an engine that takes none of its requests
+	// because of a limit.
+	limitedPlacementCost = 4.0
 	// expectedUnloadTime is the expected duration of an unload.
 	expectedUnloadTime = 500 * time.Millisecond
 )
@@ -64,6 +67,8 @@
 type Demand struct {
 	// Work is the engine time that arriving requests need, in seconds per second.
 	Work float64
+	// Requests is the number of arriving requests per second.
+	Requests float64
 	// Waiting is the number of requests that wait because no target holds the model.
 	Waiting int
 }
@@ -117,17 +122,21 @@
 	// copies is the number of resident copies that are not being unloaded. loading is the
 	// number of copies being loaded or about to be, after an unload that makes room.
 	copies, loading int
-	demand          Demand
+	// usable and usableSoon are the sums of the shares of their requests that the engines of
+	// the resident copies take, and of all copies.
+	usable, usableSoon float64
+	demand             Demand
 	// zones counts both kinds of copies per availability zone.
 	zones map[string]int
 }
 
-// workPerCopy returns the work per copy if there were that many copies. A model without
+// workPerCopy returns the work per copy if there were that many copies; a copy at an engine
+// with a limit counts as the share of its requests that the engine takes. A model without
 // copies gets an urgency on the same scale.
-func (n *modelState) workPerCopy(copies int) float64 {
+func (n *modelState) workPerCopy(copies float64) float64 {
 	switch {
 	case copies > 0:
-		return n.demand.Work / float64(copies)
+		return n.demand.Work / copies
 	case n.demand.Waiting > 0:
 		return waitingUrgency + 2*n.demand.Work
 	}
@@ -150,6 +159,7 @@
 
 // modelsByUrgency returns the supply and demand of all models, most urgent first.
 func modelsByUrgency(in Input) []*modelState {
+	setShares(in)
 	byName := make(map[string]*modelState, len(in.Engine.Models))
 	out := make([]*modelState, 0, len(in.Engine.Models))
 	for i := range in.Engine.Models {
@@ -162,16 +172,19 @@
 		for name, c := range t.Copies {
 			if n := byName[name]; n != nil && c.UnloadingSince.IsZero() {
 				n.copies++
+				n.usable += t.share
+				n.usableSoon += t.share
 				n.zones[t.Zone]++
 			}
 		}
 		if name := t.incomingModel(); name != "" && byName[name] != nil {
 			byName[name].loading++
+			byName[name].usableSoon += t.share
 			byName[name].zones[t.Zone]++
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *modelState) int {
-		x, y := a.workPerCopy(a.copies+a.loading), b.workPerCopy(b.copies+b.loading)
+		x, y := a.workPerCopy(a.usableSoon), b.workPerCopy(b.usableSoon)
 		switch {
 		case x > y:
 			return -1
@@ -191,7 +204,7 @@
 		return p.growOverloaded(in, models)
 	}
 	for _, n := range models {
-		if n.copies+n.loading > 0 && n.workPerCopy(n.copies+n.loading) < growThreshold {
+		if n.copies+n.loading > 0 && n.workPerCopy(n.usableSoon) < growThreshold {
 			return p.loadSpareCopy(in, models)
 		}
 		if t := p.startLoad(in, n); t != nil {
@@ -207,7 +220,7 @@
 // growOverloaded starts a load of an overloaded model into free memory.
 func (p *Planner) growOverloaded(in Input, models []*modelState) *Target {
 	for _, n := range models {
-		if n.copies == 0 || n.workPerCopy(n.copies+n.loading) <= overloadThreshold {
+		if n.copies == 0 || n.workPerCopy(n.usableSoon) <= overloadThreshold {
 			continue
 		}
 		if t := p.startLoad(in, n); t != nil {
@@ -231,7 +244,7 @@
 		work := 0.0
 		for name := range t.Copies {
 			if n := findModel(models, name); n != nil {
-				work += n.workPerCopy(max(n.copies, 1))
+				work += n.workPerCopy(max(n.usable, 1))
 			}
 		}
 		if work < spareThreshold {
@@ -287,7 +300,7 @@
 // prefers targets that have the weights cached on disk or in host memory, zones with few
 // copies, and targets whose other models have little work.
 func placementCost(in Input, t *Target, n *modelState) float64 {
-	r := float64(n.zones[t.Zone]) * 0.2
+	r := float64(n.zones[t.Zone])*0.2 + (1-t.share)*limitedPlacementCost
 	if !t.Cached[n.model.Name] {
 		r += n.model.StoreLoadTime.Seconds()
 	}
@@ -312,7 +325,7 @@
 // startEviction starts the unload of a less needed copy at a target that then has
 // enough memory for the model.
 func startEviction(in Input, models []*modelState, n *modelState) *Target {
-	want := n.workPerCopy(n.copies + n.loading)
+	want := n.workPerCopy(n.usableSoon)
 	memorySoon := hasMemorySoon(in, n.model)
 	var best *Target
 	victim, bestCost := "", 0.0
@@ -354,7 +367,7 @@
 		// The model is not in the configuration any more.
 		return 0, true
 	case x.copies >= 2:
-		cost = x.workPerCopy(x.copies - 1)
+		cost = x.workPerCopy(max(x.usable-t.share, minShare))
 		return cost, cost <= overloadThreshold || n.demand.Work > cost
 	}
 	// The last copy of a model without demand may be evicted for a model with demand that
@@ -362,7 +375,7 @@
 	// copy can then be loaded again from the target's disk within about a second.
 	idle := x.copies == 1 && x.loading == 0 && x.demand == Demand{}
 	copies := n.copies + n.loading
-	needed := copies == 0 && n.demand != Demand{} || copies > 0 && n.workPerCopy(copies) > overloadThreshold
+	needed := copies == 0 && n.demand != Demand{} || copies > 0 && n.workPerCopy(n.usableSoon) > overloadThreshold
 	return lastCopyEvictionCost, idle && needed && t.Cached[name]
 }
 
--- a/lib/scale/target.go
+++ b/lib/scale/target.go
@@ -88,6 +88,12 @@
 	// Cached is the set of models whose weights the engine keeps outside its accelerator,
 	// on disk or in host memory.
 	Cached map[string]bool
+	// Limit is the number of requests per second that the engine takes; 0 if it has named no
+	// limit.
+	Limit float64
+	// share is the share of its requests that the engine takes, as of the current planning
+	// round; less than 1 because of Limit.
+	share float64
 	// BackoffUntil is the end of the back-off after a failed model order.
 	BackoffUntil time.Time
 }
--- a/lib/steer/cost.go
+++ b/lib/steer/cost.go
@@ -63,6 +63,9 @@
 	if t.Slots > 0 && running >= t.Slots {
 		wait += float64(saturationPenalty) * float64(running-t.Slots+1) / float64(t.Slots)
 	}
+	if t.Limit > 0 {
+		wait += float64(max(t.FreeAt.Sub(now), 0))
+	}
 	cost += errorRate * float64(errorPenalty)
 	if s.Idle != nil && !s.Idle(t) {
 		cost += float64(newConnPenalty)
--- a/lib/steer/steer_test.go
+++ b/lib/steer/steer_test.go
@@ -271,3 +271,17 @@
 	d.AddWaiting(now, "rare", -1)
 	assert.Equal(t, len(d.Report(now.Add(time.Minute))), 0)
 }
+
+// Guards against choosing a target that has named a limit and takes the request only later
+// than another one.
+func TestLimitedTargetIsWeighedByItsTurn(t *testing.T) {
+	targets := readyEngines(2)
+	targets[0].Limit, targets[0].FreeAt = 2, start.Add(400*time.Millisecond)
+	targets[1].Own.PromptTokens = 4000
+	c := Pick(start, engines, chat(1), targets, skipNone)
+	assert.Equal(t, c.Target, targets[1])
+	targets[0].FreeAt = start.Add(20 * time.Millisecond)
+	c = Pick(start, engines, chat(1), targets, skipNone)
+	assert.Equal(t, c.Target, targets[0])
+	assert.Assert(t, c.Wait >= 20*time.Millisecond)
+}
--- a/lib/steer/target.go
+++ b/lib/steer/target.go
@@ -65,6 +65,14 @@
 	// engine has received the order, no adapter can be fetched until the order ends.
 	OrderInProgress bool
 
+	// Limit is the number of requests per second that the target takes from all entry
+	// instances together; 0 if it has named none.
+	Limit float64
+	// FreeAt is the expected time at which a target with a Limit takes the next request.
+	FreeAt time.Time
+	// LastResortAt is the same for a request that no other target takes in time.
+	LastResortAt time.Time
+
 	// Own is the load from this entry instance, Others the load from all other ones as
 	// of their latest reports.
 	Own, Others Load
