--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -86,7 +86,7 @@
 			return c.deadlineFailure()
 		case noAdapter:
 			if fetches++; fetches >= maxFailedFetches {
-				return &failure{status: http.StatusServiceUnavailable, reason: "no target has the adapter", retryAfter: defaultRetryAfter}
+				return c.noAdapterFailure()
 			}
 			c.tried[choice.Target.ID] = true
 			c.sleep(ctx, fetchRetryDelay)
@@ -115,6 +115,13 @@
 	}
 }
 
+func (c *call) noAdapterFailure() *failure {
+	if c.incompleteAttempts > 0 || c.headerSent {
+		return &failure{status: http.StatusBadGateway, reason: "answer incomplete and no other target has the adapter"}
+	}
+	return &failure{status: http.StatusServiceUnavailable, reason: "no target has the adapter", retryAfter: defaultRetryAfter}
+}
+
 func (c *call) retryLimitFailure() *failure {
 	if c.incompleteAttempts > 0 || c.headerSent {
 		return &failure{status: http.StatusBadGateway, reason: "answer incomplete and no resend left"}
