Give observers their identity from the generator of disk identities

lib/quorum had its own one. Tests of cases without one: an observer among the seeds of a first start, and stated losses that change while the group runs. lib/quorum and lib/store pass with the race detector.

--- a/lib/quorum/join_test.go
+++ b/lib/quorum/join_test.go
@@ -128,8 +128,8 @@
 	eventually(t, "the returned member votes again", func() bool { return g.votersAre("c0", "c2", "d0") })
 }
 
-// Guards against an observer that cannot refer callers to the leader: one that joins through
-// members of the group, and one whose seeds are observers, which only the group knows.
+// Guards against an observer that cannot refer callers to the leader because its own settings
+// name no member: the members, whose settings name it, must tell it where the group is.
 func TestObserverKnowsTheLeader(t *testing.T) {
 	g := newGroup(t, 3, func(s *Settings) {
 		s.Voters = 3
@@ -164,3 +164,33 @@
 		assert.Assert(t, m.GetId() != "o0", "the observer is a member")
 	}
 }
+
+// Guards against a change of the settings that has no effect while the member runs.
+func TestToleranceChangesWhileRunning(t *testing.T) {
+	seeds := map[string]netip.AddrPort{}
+	g := joinGroup(t, seeds)
+	g.propose("early")
+	seeds["c0"] = g.members[0].addr
+	g.add("d0")
+	g.add("d1")
+	voters := func() (n int) {
+		for _, m := range g.leader().node.Members() {
+			if m.GetVoter() {
+				n++
+			}
+		}
+		return n
+	}
+	set := func(tolerance Tolerance) {
+		for _, m := range g.members {
+			m.node.SetTolerance(tolerance)
+		}
+	}
+	assert.Equal(t, voters(), 3)
+	set(Tolerance{Members: 2})
+	eventually(t, "five voters", func() bool { return voters() == 5 })
+	g.propose("with five")
+	set(Tolerance{Members: 1})
+	eventually(t, "three voters", func() bool { return voters() == 3 })
+	g.propose("with three")
+}
--- a/lib/quorum/node.go
+++ b/lib/quorum/node.go
@@ -27,8 +27,6 @@
 	// maxProposalBatch is the capacity of the channels for calls of Propose and of Confirm,
 	// and bounds the queued proposals that are appended together with the first one.
 	maxProposalBatch = 1024
-	// observerIDBytes is the size of the identity of an observer.
-	observerIDBytes = 16
 	// maxInflightRequests bounds the unanswered requests to one peer, which accumulate if
 	// it does not answer.
 	maxInflightRequests = 64
@@ -156,7 +154,7 @@
 		opt(n)
 	}
 	if s.Observer {
-		n.startCore(newObserverID(), hardState{}, nil, nil)
+		n.startCore(store.NewDiskID(), hardState{}, nil, nil)
 		return n, nil
 	}
 	var err error
@@ -170,15 +168,6 @@
 	return n, nil
 }
 
-// newObserverID returns the identity of an observer in place of a disk identity.
-func newObserverID() []byte {
-	id := make([]byte, observerIDBytes)
-	for i := range id {
-		id[i] = byte(rand.Uint32())
-	}
-	return id
-}
-
 // start reads the durable state and starts the member with it.
 
 func (n *Node) start() error {
--- a/lib/quorum/tolerance_sim_test.go
+++ b/lib/quorum/tolerance_sim_test.go
@@ -308,3 +308,38 @@
 		assert.Assert(rt, ok, "%s: no command is acknowledged after the loss\n%s", s.layout.name, dump(s.sim))
 	})
 }
+
+// Guards against a group that never forms, or has a member without a disk, because an
+// observer is among the seeds of the first start; it may have the lowest id.
+func TestObserverAmongTheSeeds(t *testing.T) {
+	for observer := range 3 {
+		r := rand.New(rand.NewPCG(uint64(observer), 6))
+		s := &tolerantSim{sim: newSim(0, noBug, r.IntN), zones: map[string]string{}}
+		s.layout = layout{"observer", strings.Fields("a b c a b c"), Tolerance{Members: 1}}
+		for i, zone := range s.layout.zones {
+			id := fmt.Sprintf("c%d", i)
+			s.nodes = append(s.nodes, &simNode{id: id, disk: simDisk{id: s.newDisk()}})
+			s.zones[id] = zone
+		}
+		s.seeds = []string{"c0", "c1", "c2"}
+		without := s.seeds[observer]
+		s.configure = func(n *simNode, settings *Settings) {
+			s.settings(n, settings)
+			settings.Observer = n.id == without
+		}
+		for _, n := range s.nodes {
+			s.start(n)
+		}
+		s.started = true
+		command, ok := s.acknowledge()
+		assert.Assert(t, ok, "observer %s", without)
+		s.runWithoutFaults(catchUpRounds)
+		assert.NilError(t, s.err)
+		assert.Equal(t, len(s.voters()), 3)
+		assert.Assert(t, findMember(s.liveLeader().core.members.current(), without) == nil)
+		assert.Assert(t, s.node(without).core.leaderAddr().IsValid(), "the observer knows no leader")
+		s.loseDisks(s.drawLoss())
+		s.runWithoutFaults(recoverRounds)
+		assert.Assert(t, s.holds(command))
+	}
+}
--- a/lib/store/meta.go
+++ b/lib/store/meta.go
@@ -71,7 +71,8 @@
 // checksumSeed returns the initial value of the record checksums.
 func (s *Store) checksumSeed() uint32 { return crc32.Checksum(s.meta.Disk, castagnoli) }
 
-func newDiskID() []byte {
+// NewDiskID returns a new random disk identity.
+func NewDiskID() []byte {
 	b := make([]byte, diskIDSize)
 	_, _ = rand.Read(b) // crypto/rand documents that Read never fails.
 	return b
--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -131,7 +131,7 @@
 				Reason: "file is missing, but the directory holds a log or a snapshot",
 			}
 		}
-		s.meta = Meta{Disk: newDiskID()}
+		s.meta = Meta{Disk: NewDiskID()}
 		if err := s.saveMeta(s.meta); err != nil {
 			return err
 		}
