Keep targets that have left in the replicated list

A new leader did not know which targets had left. An announcement from before the end, which may arrive seconds late, listed such a target as ready again, and entry instances that had restarted meanwhile sent it requests (DRAIN).

TestLateAnnouncementAfterAChangeOfLeader failed before and passes.

--- a/control/leave_test.go
+++ b/control/leave_test.go
@@ -93,3 +93,37 @@
 		assert.DeepEqual(t, live, []fleet.Announcement(nil))
 	}
 }
+
+// Guards against a target that a new leader lists as ready again, because an announcement from
+// before its acknowledged end reaches that leader late (DRAIN).
+func TestLateAnnouncementAfterAChangeOfLeader(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		e := newFakeEngine()
+		f := startFleet(t, e)
+		announce(t, f, e, 1)
+		assert.NilError(t, f.updateRoster(t.Context(), ""))
+		f.mu.Lock()
+		late, _ := f.table.Lookup("t1")
+		f.mu.Unlock()
+		late.Sequence = 2
+		if draining {
+			last := late
+			last.Sequence, last.Draining = 3, true
+			assert.NilError(t, f.Announce(t.Context(), last, EngineState{}))
+		} else {
+			assert.NilError(t, f.Leave(t.Context(), "t1"))
+		}
+		for term := uint64(2); term < 4; term++ {
+			f.svc.group.Leading = func() (uint64, bool) { return term, true }
+			assert.NilError(t, f.Announce(t.Context(), late, EngineState{}))
+			for _, r := range reportHeld(t, f, "e1", 0).GetTargets() {
+				assert.Assert(t, r.GetRemoved() || r.GetPhase() == wire.Phase_PHASE_LEAVING, "draining=%v, term %d", draining, term)
+			}
+			assert.NilError(t, f.updateRoster(t.Context(), ""))
+		}
+		reborn := late
+		reborn.Born = late.Born.Add(time.Hour)
+		assert.NilError(t, f.Announce(t.Context(), reborn, EngineState{}))
+		assert.Equal(t, len(reportHeld(t, f, "e1", 0).GetTargets()), 1, "the next process of the target")
+	}
+}
--- a/control/roster.go
+++ b/control/roster.go
@@ -33,6 +33,10 @@
 	listed := f.svc.machine.Roster()
 	f.svc.machineMu.RUnlock()
 	for _, r := range listed {
+		if r.GetPhase() == wire.Phase_PHASE_LEAVING {
+			f.table.RestoreLeft(now, r.GetId(), time.UnixMilli(r.GetBornMillis()))
+			continue
+		}
 		addr, err := netip.ParseAddrPort(r.GetAddress())
 		if err != nil {
 			f.log.Error().Str("event", "rosterEntryInvalid").Str("target", r.GetId()).Err(err).Msg("")
@@ -68,12 +72,17 @@
 		before[r.GetId()] = r
 	}
 	var out []*wire.FleetTarget
-	for _, a := range f.table.Live() {
-		r := rosterEntry(a)
-		if !proto.Equal(before[a.ID], r) {
+	add := func(r *wire.FleetTarget) {
+		if !proto.Equal(before[r.GetId()], r) {
 			out = append(out, r)
 		}
-		delete(before, a.ID)
+		delete(before, r.GetId())
+	}
+	for _, a := range f.table.Live() {
+		add(rosterEntry(a))
+	}
+	for _, a := range f.table.Leaving() {
+		add(&wire.FleetTarget{Id: a.ID, BornMillis: a.Born.UnixMilli(), Phase: wire.Phase_PHASE_LEAVING})
 	}
 	for _, r := range before {
 		out = append(out, &wire.FleetTarget{Id: r.GetId(), BornMillis: r.GetBornMillis(), Removed: true})
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -331,6 +331,28 @@
 	return out
 }
 
+// Leaving returns the latest announcements of the targets that drain or have announced their
+// end, as long as their records are kept, sorted by id.
+func (t *Table) Leaving() []Announcement {
+	var out []Announcement
+	for _, x := range t.targets {
+		if x.left || x.Draining {
+			out = append(out, x.Announcement)
+		}
+	}
+	slices.SortFunc(out, func(a, b Announcement) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// RestoreLeft records an incarnation that a previous leader knew to be leaving, so that a late
+// announcement doesn't add it again.
+func (t *Table) RestoreLeft(now time.Time, id string, born time.Time) {
+	t.targets[id] = &target{
+		Announcement: Announcement{ID: id, Born: born}, heardAt: now, changeVersion: t.nextVersion(),
+		removed: true, left: true,
+	}
+}
+
 // Lookup returns the latest announcement of a target that was not removed.
 func (t *Table) Lookup(id string) (Announcement, bool) {
 	x := t.targets[id]
