--- /dev/null
+++ b/control/leave.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"bulrushpath.example/lib/fleet"
+	"bulrushpath.example/lib/poison"
+)
+
+const (
+	// propagationTimeout bounds the wait until all entry instances have confirmed that a
+	// target is leaving. One that has not stops using its table by itself (entry/gate).
+	propagationTimeout      = 500 * time.Millisecond
+	propagationPollInterval = 10 * time.Millisecond
+)
+
+// Announce records an announcement of a target. That of a draining target returns only as
+// described at awaitLeaving; if it fails, the target announces itself again.
+func (f *Fleet) Announce(ctx context.Context, a fleet.Announcement, e EngineState) error {
+	now := time.Now()
+	f.mu.Lock()
+	if _, err := f.requireLeader(); err != nil {
+		f.mu.Unlock()
+		return err
+	}
+	f.metrics.announcements.Inc(1)
+	process := poison.Process{Target: a.ID, BornMillis: a.Born.UnixMilli()}
+	f.lostRequests.RecordAnnouncement(now, process)
+	f.lostParts.RecordAnnouncement(now, process)
+	before, known := f.table.Lookup(a.ID)
+	if known && before.Born.Before(a.Born) {
+		delete(f.engines, a.ID)
+	}
+	outcome, changed := f.table.Announce(now, a)
+	if outcome == fleet.Current && a.HasModels {
+		changed = f.observe(now, a, e) || changed
+	}
+	f.mu.Unlock()
+	if changed && (!known || a.Draining != before.Draining) || outcome == fleet.Superseded {
+		f.log.Info().Str("event", "announced").Str("target", a.ID).Str("service", a.Service).
+			Str("addr", a.Addr.String()).Uint64("sequence", a.Sequence).Bool("draining", a.Draining).
+			Str("outcome", outcome.String()).Msg("")
+	}
+	if a.Draining {
+		return f.awaitLeaving(ctx, a.ID)
+	}
+	return nil
+}
+
+// Leave records that a target accepts no more requests. Like the announcement of a draining
+// target, it returns as described at awaitLeaving.
+func (f *Fleet) Leave(ctx context.Context, id string) error {
+	f.mu.Lock()
+	if _, err := f.requireLeader(); err != nil {
+		f.mu.Unlock()
+		return err
+	}
+	changed := f.table.Leave(time.Now(), id)
+	f.mu.Unlock()
+	if changed {
+		f.log.Info().Str("event", "targetLeft").Str("target", id).Msg("")
+	}
+	return f.awaitLeaving(ctx, id)
+}
+
+// awaitLeaving returns nil once a later leader would not offer the target to entry instances
+// either, and the live ones have confirmed that it is leaving. It waits for them at most
+// propagationTimeout: those that have not confirmed by then have had no reply since, and stop
+// using their table before the target ends.
+func (f *Fleet) awaitLeaving(ctx context.Context, id string) error {
+	if err := f.updateRoster(ctx, id); err != nil {
+		return fmt.Errorf("store that target %s leaves: %w", id, err)
+	}
+	end := time.Now().Add(propagationTimeout)
+	missing := f.unconfirmed(id)
+	for len(missing) > 0 && ctx.Err() == nil && time.Now().Before(end) {
+		time.Sleep(propagationPollInterval)
+		missing = f.unconfirmed(id)
+	}
+	if len(missing) > 0 {
+		f.log.Info().Str("event", "leavingUnconfirmed").Str("target", id).Strs("entries", missing).Msg("")
+	}
+	return nil
+}
+
+// unconfirmed returns the live entry instances that have not confirmed the latest change of a
+// target.
+func (f *Fleet) unconfirmed(id string) (names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, version := time.Now(), f.table.ChangeVersion(id)
+	for name, e := range f.entries {
+		if now.Sub(e.lastReport) < entryLease && e.heldVersion < version {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
