Name the parts of lib/quota with the usual terms

Limiter, Cache, Reservation and schedule in place of Pacer, Book, Turn and turns; the waits for a permit say so. Only names and comments change.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -79,8 +79,8 @@
 	lostRequests poison.LossCounter
 	// lostParts counts the same for each part of a prompt.
 	lostParts poison.PartCounter
-	// pacer spaces the sends to targets that have named a limit.
-	pacer quota.Pacer
+	// limiter spaces the sends to targets that have named a limit.
+	limiter quota.Limiter
 	// doubtful holds the targets that the last run of the planners ignored because
 	// they are probably gone.
 	doubtful map[string]bool
@@ -142,7 +142,7 @@
 	f.entries = make(map[string]*entryState)
 	f.prompts = promptLog{}
 	f.lostRequests, f.lostParts, f.doubtful = poison.LossCounter{}, poison.PartCounter{}, nil
-	f.pacer = quota.Pacer{}
+	f.limiter = quota.Limiter{}
 	f.loads = loadTotals{sums: make(map[string]*wire.TargetLoad)}
 	f.table = fleet.NewTable(now, term, f.modelRecords)
 }
--- a/control/order.go
+++ b/control/order.go
@@ -172,7 +172,7 @@
 		in := scale.Input{Now: now, Engine: s.Engine, Demand: demand, Partial: partial}
 		for _, a := range live {
 			if eng := f.engines[a.ID]; eng != nil && a.Service == s.Name {
-				eng.Limit = f.pacer.PerSecond(a.ID, a.Born)
+				eng.Limit = f.limiter.PerSecond(a.ID, a.Born)
 				in.Targets = append(in.Targets, &eng.Target)
 			}
 		}
--- a/control/quota.go
+++ b/control/quota.go
@@ -22,22 +22,22 @@
 		return nil, err
 	}
 	l := quota.FromWire(now, req.GetLimit())
-	f.pacer.Observe(now, l)
+	f.limiter.Observe(now, l)
 	maxWait := time.Duration(req.GetMaxWaitMicros()) * time.Microsecond
-	return f.pacer.Reserve(now, l.Target, l.StartedAt, maxWait, req.GetLastResort()).ToWire(), nil
+	return f.limiter.Reserve(now, l.Target, l.StartedAt, maxWait, req.GetLastResort()).ToWire(), nil
 }
 
 // exchangeLimits records the limits in a report and adds the current ones to the reply if
 // the instance does not hold them. The caller holds mu.
 func (f *Fleet) exchangeLimits(now time.Time, req *wire.FleetRequest, reply *wire.FleetReply) {
 	for _, l := range req.GetLimits() {
-		f.pacer.Observe(now, quota.FromWire(now, l))
+		f.limiter.Observe(now, quota.FromWire(now, l))
 	}
-	reply.LimitsVersion = f.pacer.Version()
+	reply.LimitsVersion = f.limiter.Version()
 	if req.GetTerm() == f.term && req.GetLimitsVersion() == reply.GetLimitsVersion() {
 		return
 	}
-	for _, l := range f.pacer.Limits() {
+	for _, l := range f.limiter.Limits() {
 		reply.Limits = append(reply.Limits, l.ToWire(now))
 	}
 }
@@ -45,7 +45,7 @@
 // dropLimits removes the limits of target processes that are not in the table any more. The
 // caller holds mu.
 func (f *Fleet) dropLimits(now time.Time) {
-	f.pacer.Retain(now, func(target string, startedAt time.Time) bool {
+	f.limiter.Retain(now, func(target string, startedAt time.Time) bool {
 		a, known := f.table.Lookup(target)
 		return known && a.Born.Equal(startedAt)
 	})
--- a/control/quota_test.go
+++ b/control/quota_test.go
@@ -53,7 +53,7 @@
 	assert.Equal(t, len(report("e2").GetLimits()), 1, "known from the request for the permit")
 
 	f.tick(time.Now())
-	assert.Assert(t, permit().GetWaitMicros() > wait, "a tick forgets the turns of a target that has yet to announce itself")
+	assert.Assert(t, permit().GetWaitMicros() > wait, "a tick forgets the sends to a target that has yet to announce itself")
 	f.tick(time.Now().Add(time.Hour))
-	assert.Equal(t, len(f.pacer.Limits()), 0)
+	assert.Equal(t, len(f.limiter.Limits()), 0)
 }
--- a/entry/gate/choose.go
+++ b/entry/gate/choose.go
@@ -88,7 +88,7 @@
 		choice = steer.Pick(now, s, &c.prompt, targets, skip)
 	}
 	c.countDemand(now, choice)
-	if c.outOfTurn(now, choice.Target) {
+	if c.limitExhausted(now, choice.Target) {
 		return steer.Choice{}, time.Time{}, c.limitFailure()
 	}
 	if choice.Target == nil {
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -122,7 +122,7 @@
 	// suspects holds requests that are suspected of crashing targets.
 	suspects suspects
 	// limits holds the limits that targets have named.
-	limits quota.Book
+	limits quota.Cache
 	// usedAdapters holds the adapters used since the last report, by target id.
 	usedAdapters map[string]map[string]bool
 }
--- a/entry/gate/limit.go
+++ b/entry/gate/limit.go
@@ -22,10 +22,10 @@
 	permitRetryDelay = 200 * time.Millisecond
 	// maxPermitRequests is the maximum number of permits for which one request asks.
 	maxPermitRequests = 6
-	// defaultPatience is how long a request without an objective may wait for a permit.
-	// Requests with an objective wait for at most a part of it, patienceShare.
-	defaultPatience = 250 * time.Millisecond
-	patienceShare   = 0.5
+	// defaultPermitWait is how long a request without an objective may wait for a permit.
+	// Requests with an objective wait for at most permitWaitShare of it.
+	defaultPermitWait = 250 * time.Millisecond
+	permitWaitShare   = 0.5
 	// permitTolerance is the wait beyond the expected one that is accepted where another
 	// target could take the request.
 	permitTolerance = 30 * time.Millisecond
@@ -86,27 +86,27 @@
 	g.applyLimits()
 }
 
-// patience is how long the request may wait for its turn at a limited target. Longer waits
-// only make all requests late.
-func (c *call) patience(now time.Time) time.Duration {
-	d := defaultPatience
+// maxPermitWait is how long the request may wait for a limited target. Longer waits only make
+// all requests late.
+func (c *call) maxPermitWait(now time.Time) time.Duration {
+	d := defaultPermitWait
 	if c.route.Objective > 0 {
-		d = time.Duration(patienceShare * float64(c.route.Objective))
+		d = time.Duration(permitWaitShare * float64(c.route.Objective))
 	}
 	return max(min(d, c.deadline.Sub(now)-responseMargin), 0)
 }
 
-// outOfTurn reports whether the best target has named a limit and takes the request too late,
-// even as one of last resort. The caller holds mu.
-func (c *call) outOfTurn(now time.Time, t *steer.Target) bool {
+// limitExhausted reports whether the best target has named a limit and takes the request too
+// late, even as one of last resort. The caller holds mu.
+func (c *call) limitExhausted(now time.Time, t *steer.Target) bool {
 	c.lastResort = false
 	if t == nil || t.Limit <= 0 {
 		return false
 	}
-	patience := c.patience(now)
-	c.lastResort = t.FreeAt.Sub(now) > patience
+	maxWait := c.maxPermitWait(now)
+	c.lastResort = t.FreeAt.Sub(now) > maxWait
 	c.retryAfter = max(t.LastResortAt.Sub(now), 0)
-	return c.lastResort && c.retryAfter > patience || c.permitRequests >= maxPermitRequests
+	return c.lastResort && c.retryAfter > maxWait || c.permitRequests >= maxPermitRequests
 }
 
 // awaitPermit waits until the target of the current send takes the request. For a target that
@@ -125,28 +125,28 @@
 		return nil
 	}
 	c.permitRequests++
-	wait := c.patience(now)
+	wait := c.maxPermitWait(now)
 	if !c.lastResort && choice.Candidates > 1 {
 		wait = min(wait, expected+permitTolerance)
 	}
-	turn, err := g.requestPermit(ctx, limit, wait, c.lastResort)
+	reservation, err := g.requestPermit(ctx, limit, wait, c.lastResort)
 	now = time.Now()
 	if err != nil {
-		turn = quota.Turn{Next: permitRetryDelay, NextLastResort: permitRetryDelay}
+		reservation = quota.Reservation{Next: permitRetryDelay, NextLastResort: permitRetryDelay}
 	}
 	g.mu.Lock()
-	t.FreeAt, t.LastResortAt = now.Add(turn.Next), now.Add(turn.NextLastResort)
+	t.FreeAt, t.LastResortAt = now.Add(reservation.Next), now.Add(reservation.NextLastResort)
 	g.mu.Unlock()
-	if !turn.Granted {
+	if !reservation.Granted {
 		return errors.Join(errNoPermit, err)
 	}
 	c.permitted = true
-	c.sleep(ctx, turn.Wait)
+	c.sleep(ctx, reservation.Wait)
 	return ctx.Err()
 }
 
-// requestPermit asks the control leader for a turn at most maxWait away.
-func (g *Gateway) requestPermit(ctx context.Context, limit quota.Limit, maxWait time.Duration, lastResort bool) (quota.Turn, error) {
+// requestPermit asks the control leader for a send that is at most maxWait away.
+func (g *Gateway) requestPermit(ctx context.Context, limit quota.Limit, maxWait time.Duration, lastResort bool) (quota.Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	req := &wire.PermitRequest{
@@ -159,13 +159,13 @@
 		return err
 	})
 	if err != nil {
-		return quota.Turn{}, fmt.Errorf("request permit: %w", err)
+		return quota.Reservation{}, fmt.Errorf("request permit: %w", err)
 	}
-	return quota.TurnFromWire(reply), nil
+	return quota.ReservationFromWire(reply), nil
 }
 
 // limitFailure refuses a request that no target takes in time. Retry-After names the time of
-// the next free turn, with a random part, so that refused clients do not return together.
+// the next possible send, with a random part, so that refused clients do not return together.
 func (c *call) limitFailure() *failure {
 	if c.incompleteAttempts > 0 || c.headerSent {
 		return &failure{status: http.StatusBadGateway, reason: "answer incomplete and no other target takes requests"}
--- a/entry/gate/limit_test.go
+++ b/entry/gate/limit_test.go
@@ -40,7 +40,7 @@
 
 // Guards against requests to a target beyond the limit that it has named (LIMIT): without the
 // permission of control it gets nothing, other targets do, and a request that no target takes
-// in time is refused at once, with the time of the next turn.
+// in time is refused at once, with the time of the next possible send.
 func TestLimitedTargetNeedsAPermit(t *testing.T) {
 	limit := limitOf("1.5")
 	fx := newFixture(t, "plain", respondLimited(limit), respondLimited(limit))
--- a/lib/quota/quota.go
+++ b/lib/quota/quota.go
@@ -1,6 +1,6 @@
 // Package quota keeps targets to the request rates that they have named for all entry
-// instances together. The control leader reserves a time for each send (Pacer); entry
-// instances know which targets have named a limit (Book). It performs no I/O and reads no
+// instances together. The control leader reserves a time for each send (Limiter); entry
+// instances know which targets have named a limit (Cache). It performs no I/O and reads no
 // clock.
 package quota
 
@@ -22,11 +22,11 @@
 	minPerSecond = 0.2
 	// burst is the number of sends that a target gets at once after a pause.
 	burst = 3
-	// overdraftRatio and overdraftPerSecond are the rate for requests that no other target
+	// lastResortRatio and lastResortPerSecond are the rate for requests that no other target
 	// takes in time: so many times the limit, and so many more per second. In 4 s that are at
 	// most 5 times the limit and 5 requests; the users tolerate 6 times the limit and 5.
-	overdraftRatio     = 1.25
-	overdraftPerSecond = 0.5
+	lastResortRatio     = 1.25
+	lastResortPerSecond = 0.5
 	// retention is how long the limit of a process that is gone is kept.
 	retention = time.Minute
 	// maxPerSecond is the rate from which on a limit binds nobody.
@@ -81,18 +81,18 @@
 	return l.StartedAt.Equal(old.StartedAt) && math.Abs(l.PerSecond-old.PerSecond) <= sameRate*old.PerSecond
 }
 
-// turns spaces the sends to a target: at a rate, after a pause up to burst at once.
-type turns struct {
+// schedule spaces the sends to a target evenly; after a pause, up to burst go at once.
+type schedule struct {
 	// nextAt is the earliest time of the next send. It is up to burst-1 intervals in the past
 	// after a pause.
 	nextAt time.Time
 }
 
 // wait returns the time until the next send.
-func (t *turns) wait(now time.Time) time.Duration { return max(t.nextAt.Sub(now), 0) }
+func (t *schedule) wait(now time.Time) time.Duration { return max(t.nextAt.Sub(now), 0) }
 
 // take records a send at the given time.
-func (t *turns) take(now, at time.Time, interval time.Duration) {
+func (t *schedule) take(now, at time.Time, interval time.Duration) {
 	if earliest := now.Add(-(burst - 1) * interval); t.nextAt.Before(earliest) {
 		t.nextAt = earliest
 	}
@@ -106,35 +106,35 @@
 // that a late report of an earlier answer does not bring the limit back.
 type account struct {
 	Limit
-	// named spaces the sends at the limit, overdraft those of last resort. Each send counts
-	// for both.
-	named, overdraft turns
+	// named spaces the sends at the limit, lastResort those of requests that no other target
+	// takes in time. Each send counts for both.
+	named, lastResort schedule
 }
 
 // interval returns the time between two sends at the limit.
 func (a *account) interval() time.Duration { return perSecond(a.PerSecond) }
 
-// overdraftInterval returns the time between two sends while requests of last resort come.
-func (a *account) overdraftInterval() time.Duration {
-	return perSecond(overdraftRatio*a.PerSecond + min(overdraftPerSecond, overdraftPerSecond*a.PerSecond))
+// lastResortInterval returns the time between two sends while requests of last resort come.
+func (a *account) lastResortInterval() time.Duration {
+	return perSecond(lastResortRatio*a.PerSecond + min(lastResortPerSecond, lastResortPerSecond*a.PerSecond))
 }
 
 func perSecond(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
 
-// Pacer spaces the sends to limited targets, over all entry instances. Only the leader has
+// Limiter spaces the sends to limited targets, over all entry instances. Only the leader has
 // one; that of a new leader knows nothing and lets no send happen at once, so that the rates
 // hold over a change of leader. It is not safe for concurrent use.
-type Pacer struct {
+type Limiter struct {
 	accounts map[string]*account
 	version  uint64
 }
 
 // Version changes whenever Limits would return something else.
-func (p *Pacer) Version() uint64 { return p.version }
+func (lim *Limiter) Version() uint64 { return lim.version }
 
 // Observe records a limit, or the end of one, that an entry instance has reported.
-func (p *Pacer) Observe(now time.Time, l Limit) {
-	a := p.accounts[l.Target]
+func (lim *Limiter) Observe(now time.Time, l Limit) {
+	a := lim.accounts[l.Target]
 	switch {
 	case a == nil && l.PerSecond <= 0:
 		return
@@ -144,23 +144,23 @@
 		a.Limit = l
 		return
 	}
-	p.version++
+	lim.version++
 	if a == nil {
 		a = &account{}
-		if p.accounts == nil {
-			p.accounts = make(map[string]*account)
+		if lim.accounts == nil {
+			lim.accounts = make(map[string]*account)
 		}
-		p.accounts[l.Target] = a
+		lim.accounts[l.Target] = a
 	}
 	fresh := a.PerSecond <= 0 || !a.StartedAt.Equal(l.StartedAt)
 	a.Limit = l
 	if fresh && l.PerSecond > 0 {
-		a.named.nextAt, a.overdraft.nextAt = now.Add(a.interval()), now.Add(a.interval())
+		a.named.nextAt, a.lastResort.nextAt = now.Add(a.interval()), now.Add(a.interval())
 	}
 }
 
-// Turn is the answer to a request for a send.
-type Turn struct {
+// Reservation is the answer to a request for a send.
+type Reservation struct {
 	// Granted reports whether the send is reserved, Wait from now. Otherwise it would have to
 	// wait for longer than is of use.
 	Granted bool
@@ -172,36 +172,36 @@
 
 // Reserve reserves the next send to a target if it is at most maxWait away. lastResort is true
 // for a request that no other target takes in time.
-func (p *Pacer) Reserve(now time.Time, target string, startedAt time.Time, maxWait time.Duration, lastResort bool) Turn {
-	a := p.accounts[target]
+func (lim *Limiter) Reserve(now time.Time, target string, startedAt time.Time, maxWait time.Duration, lastResort bool) Reservation {
+	a := lim.accounts[target]
 	if a == nil || a.PerSecond <= 0 || !a.StartedAt.Equal(startedAt) {
-		return Turn{Granted: true}
+		return Reservation{Granted: true}
 	}
 	wait := a.named.wait(now)
 	if wait > maxWait && lastResort {
-		wait = a.overdraft.wait(now)
+		wait = a.lastResort.wait(now)
 	}
 	granted := wait <= maxWait
 	if granted {
 		at := now.Add(wait)
 		a.named.take(now, at, a.interval())
-		a.overdraft.take(now, at, a.overdraftInterval())
+		a.lastResort.take(now, at, a.lastResortInterval())
 	}
-	return Turn{Granted: granted, Wait: wait, Next: a.named.wait(now), NextLastResort: a.overdraft.wait(now)}
+	return Reservation{Granted: granted, Wait: wait, Next: a.named.wait(now), NextLastResort: a.lastResort.wait(now)}
 }
 
 // PerSecond returns the limit of a target process; 0 if it has none.
-func (p *Pacer) PerSecond(target string, startedAt time.Time) float64 {
-	if a := p.accounts[target]; a != nil && a.StartedAt.Equal(startedAt) {
+func (lim *Limiter) PerSecond(target string, startedAt time.Time) float64 {
+	if a := lim.accounts[target]; a != nil && a.StartedAt.Equal(startedAt) {
 		return a.PerSecond
 	}
 	return 0
 }
 
 // Limits returns the current limits, sorted by target.
-func (p *Pacer) Limits() []Limit {
-	out := make([]Limit, 0, len(p.accounts))
-	for _, a := range p.accounts {
+func (lim *Limiter) Limits() []Limit {
+	out := make([]Limit, 0, len(lim.accounts))
+	for _, a := range lim.accounts {
 		if a.PerSecond > 0 {
 			out = append(out, a.Limit)
 		}
@@ -213,12 +213,12 @@
 // Retain removes the limits of processes that are gone and have not answered for retention.
 // Until then the account is kept, because a new one would let requests go that the old one
 // counts.
-func (p *Pacer) Retain(now time.Time, live func(target string, startedAt time.Time) bool) {
-	before := len(p.accounts)
-	maps.DeleteFunc(p.accounts, func(id string, a *account) bool {
+func (lim *Limiter) Retain(now time.Time, live func(target string, startedAt time.Time) bool) {
+	before := len(lim.accounts)
+	maps.DeleteFunc(lim.accounts, func(id string, a *account) bool {
 		return now.Sub(a.NamedAt) > retention && !live(id, a.StartedAt)
 	})
-	if len(p.accounts) != before {
-		p.version++
+	if len(lim.accounts) != before {
+		lim.version++
 	}
 }
--- a/lib/quota/quota_test.go
+++ b/lib/quota/quota_test.go
@@ -44,7 +44,7 @@
 // Guards against a limit that an earlier answer brings back after a later one has ended it,
 // and against one that a new process of the target inherits.
 func TestLimitFollowsTheLatestAnswer(t *testing.T) {
-	var p Pacer
+	var p Limiter
 	name := func(perSecond float64, born time.Time, at time.Duration) {
 		p.Observe(start.Add(time.Minute), Limit{Target: "t", StartedAt: born, PerSecond: perSecond, NamedAt: start.Add(at)})
 	}
@@ -62,8 +62,8 @@
 	assert.Equal(t, p.PerSecond("t", born), 3.0)
 	reborn := born.Add(time.Second)
 	assert.Equal(t, p.PerSecond("t", reborn), 0.0)
-	turn := p.Reserve(start.Add(time.Minute), "t", reborn, 0, false)
-	assert.Assert(t, turn.Granted)
+	reservation := p.Reserve(start.Add(time.Minute), "t", reborn, 0, false)
+	assert.Assert(t, reservation.Granted)
 	gone := func(string, time.Time) bool { return false }
 	p.Retain(start.Add(5*time.Second), gone)
 	assert.Equal(t, len(p.Limits()), 1)
@@ -75,7 +75,7 @@
 type sim struct {
 	rt      *rapid.T
 	now     time.Time
-	pacer   Pacer
+	limiter Limiter
 	term    int
 	entries []*simEntry
 	// arrivals holds the times at which requests reach the target.
@@ -86,7 +86,7 @@
 }
 
 type simEntry struct {
-	book Book
+	cache Cache
 	// term is the term of the last reply; an instance without one has no configuration and
 	// sends nothing. cutUntil is the time until which the instance does not reach control.
 	term     int
@@ -102,38 +102,38 @@
 	if s.now.Before(e.cutUntil) {
 		return
 	}
-	sent := e.book.Unreported()
+	sent := e.cache.Unreported()
 	for _, l := range sent {
-		s.pacer.Observe(s.now, l)
+		s.limiter.Observe(s.now, l)
 	}
 	if e.term != s.term {
 		e.term = s.term
-		e.book.Restart()
-		e.book.Reported(sent)
+		e.cache.Restart()
+		e.cache.Reported(sent)
 		return
 	}
-	e.book.Reported(sent)
-	if e.book.Version() != s.pacer.Version() {
-		e.book.Merge(s.pacer.Version(), s.pacer.Limits())
+	e.cache.Reported(sent)
+	if e.cache.Version() != s.limiter.Version() {
+		e.cache.Merge(s.limiter.Version(), s.limiter.Limits())
 	}
 }
 
 // send tries to send a request of an entry instance.
 func (s *sim) send(e *simEntry) {
 	at := s.now
-	if l := e.book.Of("t", born); l.PerSecond > 0 {
+	if l := e.cache.Of("t", born); l.PerSecond > 0 {
 		if s.now.Before(e.nextAt) || s.now.Before(e.cutUntil) {
 			return
 		}
-		s.pacer.Observe(s.now, l)
+		s.limiter.Observe(s.now, l)
 		lastResort := rapid.IntRange(0, 3).Draw(s.rt, "lastResort") > 0
 		patience := time.Duration(rapid.IntRange(0, 500).Draw(s.rt, "patience")) * time.Millisecond
-		turn := s.pacer.Reserve(s.now, "t", born, patience, lastResort)
-		e.nextAt = s.now.Add(turn.NextLastResort)
-		if !turn.Granted {
+		reservation := s.limiter.Reserve(s.now, "t", born, patience, lastResort)
+		e.nextAt = s.now.Add(reservation.NextLastResort)
+		if !reservation.Granted {
 			return
 		}
-		at = at.Add(turn.Wait)
+		at = at.Add(reservation.Wait)
 	}
 	if !e.answeredAt.IsZero() {
 		s.arrivals = append(s.arrivals, at.Add(time.Duration(rapid.IntRange(0, 20).Draw(s.rt, "transit"))*time.Millisecond))
@@ -145,7 +145,7 @@
 			e.answeredAt = s.now
 		}
 	}
-	e.book.Observe(l)
+	e.cache.Observe(l)
 }
 
 // Guards against a target that gets more than it takes (LIMIT): from 3 s after it first named
@@ -173,7 +173,7 @@
 			e := s.entries[n%instances]
 			switch rapid.IntRange(0, 60).Draw(rt, "event") {
 			case 0:
-				s.pacer, s.term = Pacer{}, s.term+1
+				s.limiter, s.term = Limiter{}, s.term+1
 			case 1:
 				*e = simEntry{}
 			case 2:
@@ -214,7 +214,7 @@
 func TestLimitIsUsed(t *testing.T) {
 	for _, perSecond := range []float64{0.5, 1, 3.3} {
 		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
-			var p Pacer
+			var p Limiter
 			p.Observe(start, Limit{Target: "t", StartedAt: born, PerSecond: perSecond, NamedAt: start})
 			sent := 0
 			const seconds = 30
--- a/lib/quota/wire.go
+++ b/lib/quota/wire.go
@@ -28,18 +28,18 @@
 	}
 }
 
-// ToWire returns the turn as a message.
-func (t Turn) ToWire() *wire.PermitReply {
+// ToWire returns the reservation as a message.
+func (t Reservation) ToWire() *wire.PermitReply {
 	return &wire.PermitReply{
 		Granted: t.Granted, WaitMicros: uint64(t.Wait.Microseconds()), NextMicros: uint64(t.Next.Microseconds()),
 		NextLastResortMicros: uint64(t.NextLastResort.Microseconds()),
 	}
 }
 
-// TurnFromWire returns the turn in a message.
-func TurnFromWire(m *wire.PermitReply) Turn {
+// ReservationFromWire returns the reservation in a message.
+func ReservationFromWire(m *wire.PermitReply) Reservation {
 	micros := func(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
-	return Turn{
+	return Reservation{
 		Granted: m.GetGranted(), Wait: micros(m.GetWaitMicros()), Next: micros(m.GetNextMicros()),
 		NextLastResort: micros(m.GetNextLastResortMicros()),
 	}
