Let requests of last resort go to limited targets earlier

Requests waited up to half of their objective for a permit before they counted as of last resort, and were late then. They now wait a tenth of it; the rate of last resort is 1.25 times the limit and 0.75 a second (0.5 before), after a pause two at once (three), which is the same most in 4 s: five times the limit and five.

--- a/entry/gate/limit.go
+++ b/entry/gate/limit.go
@@ -25,7 +25,7 @@
 	// defaultPermitWait is how long a request without an objective may wait for a permit.
 	// Requests with an objective wait for at most permitWaitShare of it.
 	defaultPermitWait = 250 * time.Millisecond
-	permitWaitShare   = 0.5
+	permitWaitShare   = 0.1
 	// permitTolerance is the wait beyond the expected one that is accepted where another
 	// target could take the request.
 	permitTolerance = 30 * time.Millisecond
--- a/lib/quota/quota.go
+++ b/lib/quota/quota.go
@@ -21,12 +21,12 @@
 	// says only in an answer that the limit has ended.
 	minPerSecond = 0.2
 	// burst is the number of sends that a target gets at once after a pause.
-	burst = 3
+	burst = 2
 	// lastResortRatio and lastResortPerSecond are the rate for requests that no other target
 	// takes in time: so many times the limit, and so many more per second. In 4 s that are at
 	// most 5 times the limit and 5 requests; the users tolerate 6 times the limit and 5.
 	lastResortRatio     = 1.25
-	lastResortPerSecond = 0.5
+	lastResortPerSecond = 0.75
 	// retention is how long the limit of a process that is gone is kept.
 	retention = time.Minute
 	// maxPerSecond is the rate from which on a limit binds nobody.
