Let the number of instances that share the slack fall only when it is certain

The number now grows at once and falls only to the largest of a span without a gap that covers a window and 2 s; each instance that used its share within the window was in contact then, and counted. After a gap in its contact an instance begins anew.

TestSharesOfTheSlackAddUp drew so many events that instances rarely had a share; it now draws the pauses between them, and whole bursts. TestSteadyInstancesShareTheWholeSlack guards the other side.

--- a/entry/gate/fixture_test.go
+++ b/entry/gate/fixture_test.go
@@ -252,14 +252,16 @@
 	return fx
 }
 
-// establishBudgets replaces the retry budgets by those of an instance that has run for a
-// window, alone.
+// establishBudgets replaces the retry budgets by those of an instance that has run alone for
+// two windows.
 func (fx *fixture) establishBudgets(limit steer.RetryLimit) {
 	now := time.Now()
 	fx.gateway.mu.Lock()
 	defer fx.gateway.mu.Unlock()
-	fx.gateway.budgets = steer.NewRetryBudgets(now.Add(-limit.Window), limit)
-	fx.gateway.budgets.SetInstances(now, 1)
+	fx.gateway.budgets = steer.NewRetryBudgets(limit)
+	for at := -2 * limit.Window; at <= 0; at += limit.Window / 10 {
+		fx.gateway.budgets.SetInstances(now.Add(at), 1)
+	}
 }
 
 // do sends a request through the Gateway and reads the response.
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -162,7 +162,7 @@
 	if g.targetConns == nil {
 		g.targetConns = relay.NewPool()
 	}
-	g.budgets = steer.NewRetryBudgets(time.Now(), steer.RetryLimit{
+	g.budgets = steer.NewRetryBudgets(steer.RetryLimit{
 		Ratio: g.retryLimit.Ratio * retryLimitFraction, Slack: g.retryLimit.Slack * retryLimitFraction,
 		Window: g.retryLimit.Window,
 	})
--- a/lib/steer/budget.go
+++ b/lib/steer/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -16,7 +17,7 @@
 }
 
 // maxShareAge is how long an entry instance uses its share of the slack without contact to
-// control. Control waits longer before it gives the share to the others.
+// control. Control counts an instance for longer than that after its last report.
 const maxShareAge = 2 * time.Second
 
 // RetryBudgets limits the retries to each service by the requests for this service, which
@@ -25,14 +26,17 @@
 // within one window add up to at most one, while instances come, go, restart and are cut off.
 type RetryBudgets struct {
 	limit RetryLimit
-	// startedAt is the start of the instance. Until the end of the first window it uses no
-	// slack, because its predecessor may have done so before a restart.
-	startedAt time.Time
-	// instances holds the largest number of entry instances in each part of the window, and
-	// heardAt is the time of the latest one.
-	instances buckets
-	heardAt   time.Time
-	byService map[string]*serviceBudget
+	// sharedBy is the number of entry instances by which the slack is divided; 0 until it is
+	// settled. It grows at once, and falls only to the largest number of a span in which
+	// control has named numbers without a gap: see settle.
+	sharedBy float64
+	// contactAt is the time of the latest reply of control, namedAt that of the latest one
+	// with a number of instances.
+	contactAt, namedAt time.Time
+	// named holds the largest number in each part of the span that began at namedSince.
+	named      buckets
+	namedSince time.Time
+	byService  map[string]*serviceBudget
 }
 
 // serviceBudget counts the requests for a service and the retries to it.
@@ -42,34 +46,52 @@
 
 // NewRetryBudgets returns the budgets of an entry instance that has just started. limit is
 // that of all instances together.
-func NewRetryBudgets(now time.Time, limit RetryLimit) *RetryBudgets {
-	return &RetryBudgets{limit: limit, startedAt: now, byService: make(map[string]*serviceBudget)}
+func NewRetryBudgets(limit RetryLimit) *RetryBudgets {
+	return &RetryBudgets{limit: limit, byService: make(map[string]*serviceBudget)}
 }
 
-// SetInstances records how many entry instances share the slack; 0 means that control does
-// not know it.
+// SetInstances records a reply of control with the number of entry instances that share the
+// slack; 0 means that control does not know it. After a gap in the contact the instance
+// begins anew: control may have given its share to others.
 func (b *RetryBudgets) SetInstances(now time.Time, n int) {
+	if now.Sub(b.contactAt) > b.maxShareAge() {
+		b.sharedBy, b.namedSince = 0, time.Time{}
+	}
+	b.contactAt = now
 	if n <= 0 {
 		return
 	}
-	b.instances.advance(now, b.limit.Window)
-	x := &b.instances.values[0]
-	*x = max(*x, float64(n))
-	b.heardAt = now
+	if b.namedSince.IsZero() || now.Sub(b.namedAt) > b.maxShareAge() {
+		b.named, b.namedSince = buckets{}, now
+	}
+	b.namedAt = now
+	b.named.advance(now, b.limit.Window)
+	b.named.values[0] = max(b.named.values[0], float64(n))
+	if b.sharedBy > 0 {
+		b.sharedBy = max(b.sharedBy, float64(n))
+	}
+	b.settle(now)
 }
 
-// slack returns this instance's share of the slack. It shrinks at once when instances are
-// added, and grows only when those that are gone have not used theirs for a window.
+// settle sets sharedBy to the largest number that control has named within a window and
+// maxShareAge, if it has done so without a gap. Every instance that used its share within the
+// window was in contact then, and therefore counted.
+func (b *RetryBudgets) settle(now time.Time) {
+	if now.Sub(b.namedSince) >= b.limit.Window+b.maxShareAge() {
+		b.sharedBy = b.named.largest()
+	}
+}
+
+// maxShareAge returns maxShareAge, or less if the window is short: buckets cover a fifth of
+// the window more than the window.
+func (b *RetryBudgets) maxShareAge() time.Duration { return min(maxShareAge, b.limit.Window/5) }
+
+// slack returns this instance's share of the slack.
 func (b *RetryBudgets) slack(now time.Time) float64 {
-	if now.Sub(b.startedAt) < b.limit.Window || b.heardAt.IsZero() || now.Sub(b.heardAt) > maxShareAge {
+	if b.sharedBy <= 0 || now.Sub(b.contactAt) > b.maxShareAge() {
 		return 0
 	}
-	b.instances.advance(now, b.limit.Window)
-	n := 1.0
-	for _, x := range b.instances.values {
-		n = max(n, x)
-	}
-	return b.limit.Slack / n
+	return b.limit.Slack / b.sharedBy
 }
 
 func (b *RetryBudgets) of(service string) *serviceBudget {
@@ -115,9 +137,10 @@
 // budgetBuckets is the number of parts into which the window is divided.
 const budgetBuckets = 10
 
-// buckets holds a value for each of the last parts of the window, the current one first.
+// buckets holds a value for each of the last parts of the window and of a fifth more, and for
+// the current one, which comes first.
 type buckets struct {
-	values [budgetBuckets + 1]float64
+	values [budgetBuckets + budgetBuckets/5 + 1]float64
 	// current is the number of the current part, counted from the epoch.
 	current int64
 }
@@ -126,7 +149,7 @@
 // values stay where they are.
 func (b *buckets) advance(now time.Time, window time.Duration) {
 	part := now.UnixNano() / max(int64(window)/budgetBuckets, 1)
-	steps := min(max(part-b.current, 0), budgetBuckets+1)
+	steps := min(max(part-b.current, 0), int64(len(b.values)))
 	b.current = max(part, b.current)
 	copy(b.values[steps:], b.values[:int64(len(b.values))-steps])
 	clear(b.values[:steps])
@@ -139,3 +162,6 @@
 	}
 	return total
 }
+
+// largest returns the largest value.
+func (b *buckets) largest() float64 { return slices.Max(b.values[:]) }
--- a/lib/steer/budget_test.go
+++ b/lib/steer/budget_test.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -9,10 +8,12 @@
 	"pgregory.net/rapid"
 )
 
-// established returns the budgets of an instance that has run for a window, alone.
+// established returns the budgets of an instance that has run alone for two windows.
 func established(limit RetryLimit) *RetryBudgets {
-	b := NewRetryBudgets(start.Add(-limit.Window), limit)
-	b.SetInstances(start, 1)
+	b := NewRetryBudgets(limit)
+	for at := -2 * limit.Window; at <= 0; at += limit.Window / 10 {
+		b.SetInstances(start.Add(at), 1)
+	}
 	return b
 }
 
@@ -95,22 +96,29 @@
 		now, termStart := start, start
 		all := make([]*instance, instances)
 		for i := range all {
-			all[i] = &instance{budgets: NewRetryBudgets(now, limit), up: rapid.Bool().Draw(rt, "up")}
+			all[i] = &instance{budgets: NewRetryBudgets(limit), up: rapid.Bool().Draw(rt, "up")}
 		}
 		var retries []time.Time
-		for range rapid.IntRange(100, 600).Draw(rt, "steps") {
+		// Frequent events leave no instance a share; long pauses let all of them have one.
+		pauses := rapid.SampledFrom([]int{1, 4, 15, 30, 60, 125, 200})
+		pause, greedy := pauses.Draw(rt, "pause"), 0
+		for range 1200 {
 			now = now.Add(step)
-			x := all[rapid.IntRange(0, instances-1).Draw(rt, "instance")]
-			switch rapid.IntRange(0, 40).Draw(rt, "event") {
-			case 0:
-				x.up = !x.up
-				x.budgets = NewRetryBudgets(now, limit)
-			case 1:
-				x.cut = !x.cut
-			case 2:
-				termStart = now
-				for _, y := range all {
-					y.seen = time.Time{}
+			if pause--; pause <= 0 {
+				pause = pauses.Draw(rt, "pause")
+				x := all[rapid.SampledFrom([]int{0, 1, 2, 3, 4, 5}).Draw(rt, "instance")]
+				greedy = rapid.SampledFrom([]int{0, 1, 2, 3, 4, 5, instances}).Draw(rt, "greedy")
+				switch rapid.SampledFrom([]string{"up", "cut", "leader", "none"}).Draw(rt, "event") {
+				case "up":
+					x.up = !x.up
+					x.budgets = NewRetryBudgets(limit)
+				case "cut":
+					x.cut = !x.cut
+				case "leader":
+					termStart = now
+					for _, y := range all {
+						y.seen = time.Time{}
+					}
 				}
 			}
 			for _, y := range all {
@@ -132,11 +140,9 @@
 					y.budgets.SetInstances(now, known)
 				}
 			}
-			for i := range all {
-				for burst := rapid.IntRange(0, 6).Draw(rt, fmt.Sprint("retries", i)); burst > 0; burst-- {
-					if all[i].up && all[i].budgets.TryRetry(now, "s") {
-						retries = append(retries, now)
-					}
+			for i, y := range all {
+				for y.up && (i == greedy || greedy == instances) && y.budgets.TryRetry(now, "s") {
+					retries = append(retries, now)
 				}
 			}
 			if n := countWithin(retries, now, limit.Window); float64(n) > limit.Slack {
@@ -145,3 +151,31 @@
 		}
 	})
 }
+
+// Guards against slack that is not used: instances in steady contact with control have the
+// whole of it together, also while a new leader does not know their number.
+func TestSteadyInstancesShareTheWholeSlack(t *testing.T) {
+	const instances = 3
+	limit := RetryLimit{Slack: 30, Window: 10 * time.Second}
+	now := start
+	all := make([]*RetryBudgets, instances)
+	for i := range all {
+		all[i] = NewRetryBudgets(limit)
+	}
+	hear := func(d time.Duration, number int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(time.Second) {
+			for _, b := range all {
+				b.SetInstances(now, number)
+			}
+		}
+	}
+	hear(14*time.Second, instances)
+	hear(3*time.Second, 0)
+	total := 0
+	for _, b := range all {
+		for b.TryRetry(now, "s") {
+			total++
+		}
+	}
+	assert.Equal(t, total, 30)
+}
