--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -377,35 +376,6 @@
 	assert.Assert(t, <-done != nil)
 }
 
-// Guards against load totals that leave out part of the load of the other entry
-// instances.
-func TestLoadTotals(t *testing.T) {
-	f := startFleet(t, newFakeEngine())
-	report := func(name string, running uint32) *wire.FleetReply {
-		reply, err := f.Report(t.Context(), &wire.FleetRequest{
-			Protocol: link.Protocol, Name: name, DocumentVersion: 3,
-			Loads: []*wire.TargetLoad{{Target: "t1", Running: running, PromptTokens: 10}},
-		})
-		assert.NilError(t, err)
-		return reply
-	}
-	report("e1", 1)
-	report("e2", 2)
-	assert.Equal(t, report("e3", 4).GetEntries(), uint32(0), "a new leader does not know all of them")
-	f.mu.Lock()
-	f.termStart = f.termStart.Add(-entryLease)
-	f.mu.Unlock()
-	f.tick(time.Now())
-	reply := report("e3", 4)
-	assert.Equal(t, reply.GetEntries(), uint32(3))
-	assert.Equal(t, reply.GetLoads()[0].GetRunning(), uint32(3))
-	assert.Equal(t, reply.GetLoads()[0].GetPromptTokens(), uint64(20))
-	report("e1", 0)
-	f.removeEntry("e2")
-	f.tick(time.Now())
-	assert.Equal(t, len(report("e3", 4).GetLoads()), 0)
-}
-
 // Guards against a request that crashes further targets because different entry
 // instances reported its failures, and against blocking a request because targets
 // aborted a reply without crashing.
@@ -436,17 +406,6 @@
 	assert.Equal(t, report("e3", "", fp), wire.Verdict_VERDICT_CLEAR, "a target completed it")
 }
 
-// Guards against an unlimited rate of reports in the largest intended deployment, and
-// against changes that take longer than a second to reach an instance.
-func TestReportPeriod(t *testing.T) {
-	for _, c := range []struct {
-		entries int
-		want    time.Duration
-	}{{1, minReportPeriod}, {8, minReportPeriod}, {100, 500 * time.Millisecond}, {510, maxReportPeriod}} {
-		assert.Equal(t, reportPeriod(c.entries), c.want)
-	}
-}
-
 // Guards against a new leader that knows no targets until they announce themselves
 // again, that restores a target that has left, or that keeps restored targets forever.
 func TestNewLeaderRecallsTargets(t *testing.T) {
@@ -473,36 +432,6 @@
 	assert.Equal(t, len(report().GetTargets()), 0)
 }
 
-// Guards against cached prompts that are sent to an instance twice, not at all, or
-// although it reported them itself.
-func TestPromptLog(t *testing.T) {
-	var l promptLog
-	prompt := func(key uint64) *wire.CachedPrompt { return &wire.CachedPrompt{Target: "t", Key: key} }
-	l.add("e1", []*wire.CachedPrompt{prompt(1), prompt(2)})
-	l.add("e2", []*wire.CachedPrompt{prompt(3)})
-	got, last := l.since("e1", 0)
-	assert.Equal(t, len(got), 1)
-	assert.Equal(t, got[0].GetKey(), uint64(3))
-	got, last = l.since("e1", last)
-	assert.Equal(t, len(got), 0)
-	assert.Equal(t, last, uint64(3))
-	for i := range uint64(2 * maxPrompts) {
-		l.add("e2", []*wire.CachedPrompt{prompt(i)})
-	}
-	seen := 0
-	for held := last; ; {
-		got, next := l.since("e1", held)
-		seen += len(got)
-		if next == held {
-			break
-		}
-		held = next
-	}
-	assert.Equal(t, seen, maxPrompts)
-	_, last = l.since("e1", 1<<60)
-	assert.Equal(t, last, l.sequence)
-}
-
 // Guards against data races between calls and the planner, which can crash the process.
 func TestConcurrentCallsAndTicks(t *testing.T) {
 	e := newFakeEngine()
@@ -547,27 +476,6 @@
 	wg.Wait()
 }
 
-// Guards against a configuration of many routes that reaches entry instances late because
-// it fills their links: it is sent compressed, and in full to instances that cannot read that.
-func TestLargeDocumentIsSentCompressed(t *testing.T) {
-	doc := &wire.Document{Version: 9, Content: []byte(strings.Repeat(`{"Name":"r","Host":"h","PathPrefix":"/a/"},`, 2000))}
-	f := &Fleet{svc: newService("c1", testProcess())}
-	post, err := proto.Marshal(&wire.Command{Body: &wire.Command_Post{Post: doc}})
-	assert.NilError(t, err)
-	f.svc.apply(1, time.Now(), post)
-	for _, accept := range []bool{true, false} {
-		reply := &wire.FleetReply{}
-		f.addDocument(&wire.FleetRequest{AcceptPacked: accept}, reply)
-		assert.Equal(t, proto.Size(reply) < len(doc.GetContent())/10, accept)
-		got, err := wire.UnpackDocument(reply)
-		assert.NilError(t, err)
-		assert.Assert(t, proto.Equal(got, doc))
-	}
-	reply := &wire.FleetReply{}
-	f.addDocument(&wire.FleetRequest{AcceptPacked: true, DocumentVersion: 9}, reply)
-	assert.Equal(t, proto.Size(reply), 0)
-}
-
 // Guards against a new leader that does not know the parts of prompts with which the previous
 // one has lost targets, and against a verdict that an operator cannot lift.
 func TestLostPartsOutliveTheLeader(t *testing.T) {
--- a/lib/scale/scale_test.go
+++ b/lib/scale/scale_test.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// order returns the order in progress at an engine.
+func (w *simulation) order(t *testing.T, engine int) *Order {
+	t.Helper()
+	o := w.engines[engine].target.Order
+	assert.Assert(t, o != nil, "engine %d has no order", engine)
+	return o
+}
+
 func (w *simulation) copies(model string) (n int) {
 	for _, e := range w.engines {
 		if e.held[model] {
@@ -293,8 +301,7 @@
 	w.demand["m00"] = Demand{Work: 0.9}
 	w.demand["m03"] = Demand{Work: 0.005}
 	w.run(time.Second)
-	order := w.engines[1].target.Order
-	assert.Assert(t, order != nil)
+	order := w.order(t, 1)
 	assert.Equal(t, order.Model, "m00")
 }
 
@@ -310,8 +317,7 @@
 	w.demand["m00"] = Demand{Work: 1.5}
 	w.demand["m01"], w.demand["m02"] = Demand{Work: 0.4}, Demand{Work: 0.4}
 	w.step()
-	order := w.engines[1].target.Order
-	assert.Assert(t, order != nil)
+	order := w.order(t, 1)
 	assert.Equal(t, order.For, "m00")
 }
 
@@ -328,8 +334,7 @@
 	w.demand["m01"], w.demand["m02"] = Demand{Work: 0.3}, Demand{Work: 0.3}
 	w.step()
 	assert.Assert(t, w.engines[1].target.Order == nil || w.engines[1].target.Order.Model == "m03")
-	order := w.engines[2].target.Order
-	assert.Assert(t, order != nil)
+	order := w.order(t, 2)
 	assert.Equal(t, order.For, "m00")
 }
 
