--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -311,6 +311,9 @@
 	announce(t, f, e, 1)
 	f.svc.group.Leading = func() (uint64, bool) { return 1, false }
 	assert.Equal(t, link.CodeOf(fetch(t, f, "a1")), link.CodeNotLeader)
+	result, err := f.sendOrder(1, f.engines["t1"], scale.Order{Op: scale.Load, Model: "m0", Adapter: "a1"})
+	assert.Equal(t, result, NotSent)
+	assert.Error(t, err, "target or leadership lost")
 	assert.Equal(t, e.sends, 0)
 }
 
--- a/control/order.go
+++ b/control/order.go
@@ -36,6 +36,10 @@
 	failedTargetBackoff = 3 * time.Second
 )
 
+// errOrderAbandoned means that the leadership or the target was lost before an order was
+// answered.
+var errOrderAbandoned = errors.New("target or leadership lost")
+
 // SendResult is the outcome of sending an order to an engine.
 type SendResult int
 
@@ -258,7 +262,10 @@
 		case done:
 			return Accepted, nil
 		case !f.mayOrder(term, eng):
-			return result, fmt.Errorf("target or leadership lost: %w", err)
+			if err == nil {
+				return result, errOrderAbandoned
+			}
+			return result, fmt.Errorf("%w: %w", errOrderAbandoned, err)
 		case o.Op == scale.Load && !f.withinLimits(eng):
 			return NoRoom, errors.New("order would exceed the limits of the engine")
 		}
--- a/entry/gate/limit.go
+++ b/entry/gate/limit.go
@@ -137,8 +137,11 @@
 	g.mu.Lock()
 	t.FreeAt, t.LastResortAt = now.Add(reservation.Next), now.Add(reservation.NextLastResort)
 	g.mu.Unlock()
-	if !reservation.Granted {
-		return errors.Join(errNoPermit, err)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %w", errNoPermit, err)
+	case !reservation.Granted:
+		return errNoPermit
 	}
 	c.permitted = true
 	c.sleep(ctx, reservation.Wait)
