Send nothing as the only voter before its term is durable

The only voter of a group elects itself with no message to anyone, and so with no wait for the sync of its term. Its appends do not wait for its own disk either. If it restarts in between, it leads the same term again with other entries, and a learner that took the former ones keeps them for good. Groups of two or more voters are safe, since requests for votes leave after that sync. The only voter now sends nothing until its first entry, and with it the term, is on its disk.

--- a/lib/quorum/core.go
+++ b/lib/quorum/core.go
@@ -459,9 +459,21 @@
 	c.persisted = max(c.persisted, index)
 	if c.role == leader {
 		c.advanceCommit()
+		c.termDurable()
 	}
 }
 
+// termDurable begins to send once the term of this leader is durable: a member that starts
+// again takes at least the term of its last entry.
+func (c *core) termDurable() {
+	if !c.lead.unsynced || c.persisted < c.lead.firstIndex {
+		return
+	}
+	c.lead.unsynced = false
+	c.heartbeat()
+	c.send()
+}
+
 // setBlocked records whether writes to the disk fail; a leader or candidate steps down
 // if they do. After a fault the member stays blocked.
 func (c *core) setBlocked(blocked bool) {
--- a/lib/quorum/core_test.go
+++ b/lib/quorum/core_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -120,6 +121,38 @@
 	assert.ErrorContains(t, electTwice(forgetVote), "lead term 11")
 }
 
+// Guards against two versions of an entry in one term: the only voter sends an entry before its
+// term is durable, restarts, and leads the same term again with another entry.
+func TestOnlyVoterSendsNothingBeforeItsTermIsDurable(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 0))
+	s := newSim(2, noBug, r.IntN)
+	s.runWithoutFaults(60)
+	voter, learner := s.nodes[0], s.nodes[1]
+	if voter.core.role != leader {
+		voter, learner = learner, voter
+	}
+	// The other member is removed, and comes back as a learner.
+	voter.core.propose(nil, withoutMember(voter.core.members.current(), learner.id))
+	s.flush(voter, nil)
+	s.runWithoutFaults(30)
+	assert.Equal(t, voter.core.quorumSize(), 1)
+	assert.Assert(t, findMember(voter.core.members.current(), learner.id) != nil)
+	s.net = nil
+	for range 2 {
+		s.restart(voter)
+		s.advance(10 * time.Millisecond)
+		assert.Equal(t, voter.core.role, leader)
+		for len(s.net) > 0 {
+			s.deliver(0, false)
+		}
+		s.checkLogs()
+		assert.NilError(t, s.err)
+	}
+	s.runWithoutFaults(30)
+	assert.NilError(t, s.err)
+	assert.Equal(t, learner.core.commit, voter.core.commit)
+}
+
 // Guards against a group that makes no progress after faults. Once all members run
 // and are connected again, new commands must be committed and applied by all, and a
 // member that was removed or lost its disk must become a voter again.
--- a/lib/quorum/replicate.go
+++ b/lib/quorum/replicate.go
@@ -66,6 +66,9 @@
 // heartbeat sends an empty append to all members, and from time to time Hello to the initial
 // members that are not in the group.
 func (c *core) heartbeat() {
+	if c.lead.unsynced {
+		return
+	}
 	cur := c.members.current()
 	for _, m := range cur.Members {
 		p := c.lead.peers[m.Id]
@@ -94,6 +97,9 @@
 
 // send sends each member as many entries as its window allows.
 func (c *core) send() {
+	if c.lead.unsynced {
+		return
+	}
 	for _, m := range c.members.current().Members {
 		if p := c.lead.peers[m.Id]; p != nil {
 			c.sendTo(m.Id, p)
