Do not resend a request that may have crashed its target

All copies of two busy models were gone, and sound requests got 503. The record shows it: of the 20 requests lost with the first target, one had parts that no answer had cleared. Class: a retry of what may be the cause of the failure, which multiplies it.

A request that was lost before its first output, with a part that no answer has cleared, is resent only if its target still answers its health check; otherwise its client gets 502. Others that ran beside it are resent as before.

--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -104,6 +104,9 @@
 			if c.isSuspect() {
 				return &failure{status: http.StatusBadGateway, reason: "targets are lost with this request: " + err.Error()}
 			}
+			if c.mayHaveCrashed(err) {
+				return &failure{status: http.StatusBadGateway, reason: "the target was lost, perhaps by this request: " + err.Error()}
+			}
 			if !c.route.Repeatable() || c.incompleteAttempts >= max(c.route.MaxAttempts, 1) {
 				return &failure{status: http.StatusBadGateway, reason: "answer incomplete: " + err.Error()}
 			}
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -207,11 +207,42 @@
 	return request || part
 }
 
+// looksLikeCrash reports whether err looks like a crash of the target process.
+func looksLikeCrash(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// unclearedParts returns the parts of the prompt that no answer has cleared, if the last
+// attempt had no output. The caller holds mu.
+func (c *call) unclearedParts() (out []poison.Fingerprint) {
+	if c.hasOutput {
+		return nil
+	}
+	for _, part := range c.parts() {
+		if !c.gateway.suspects.cleared.Has(part) {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+// mayHaveCrashed reports whether the request may be the one that has crashed its target: no
+// answer has cleared its parts, and the target has stopped answering. A resend would crash
+// another target. Requests that only ran beside it mostly have no such part.
+func (c *call) mayHaveCrashed(err error) bool {
+	if !looksLikeCrash(err) {
+		return false
+	}
+	c.gateway.mu.Lock()
+	suspicious := len(c.unclearedParts()) > 0
+	c.gateway.mu.Unlock()
+	return suspicious && c.gateway.checkHealth(c.dest.Target, c.service) != nil
+}
+
 // recordLost reports the request as lost if err looks like a crash of the target process.
 func (c *call) recordLost(err error) {
-	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	if !ended {
+	if !looksLikeCrash(err) {
 		return
 	}
 	fp := c.fingerprint()
@@ -221,12 +252,8 @@
 		return
 	}
 	lost := &wire.LostRequest{Fingerprint: fp[:], Target: c.dest.ID, BornMillis: c.dest.startedAt.UnixMilli()}
-	if !c.hasOutput {
-		for _, part := range c.parts() {
-			if !c.gateway.suspects.cleared.Has(part) {
-				lost.Parts = append(lost.Parts, part[:])
-			}
-		}
+	for _, part := range c.unclearedParts() {
+		lost.Parts = append(lost.Parts, part[:])
 	}
 	c.gateway.suspects.lost = append(c.gateway.suspects.lost, lost)
 	c.gateway.triggerReport()
