Elect and keep a leader while syncs take longer than the election timeout

Three causes: a candidate gives up its election after 0.15 to 0.45 s, before its own vote and those of others are durable, and the next one makes these votes void; requests for votes time out after 0.3 s; and followers answer heartbeats only after the syncs before them, so that a leader loses its majority and steps down. Class: a slow disk that looks like a lost member.

Heartbeats and pre-votes are answered at once where the reply depends on no write: the term is durable, and the entry named by the leader has been acknowledged before. Elections are delayed twice as long for each term that ended without a leader, up to eight times; all members count the same terms. Requests for votes wait for the disk of the peer as appends do. That a leader sends nothing before its term is durable is now one rule for all, in place of one for the only voter.

--- a/lib/quorum/call.go
+++ b/lib/quorum/call.go
@@ -209,6 +209,10 @@
 			return
 		}
 		reply := n.core.step(n.clock(), m)
+		if n.core.replyNeedsNoWrite(m, reply) {
+			answer <- reply
+			reply = nil
+		}
 		n.processOutput(reply, answer)
 	})
 	select {
@@ -250,11 +254,12 @@
 	})
 }
 
-// callTimeout returns the timeout of one request. Appends and snapshots wait for the
+// callTimeout returns the timeout of one request. Appends, snapshots and votes wait for the
 // disk of the peer, so their timeout is longer than that of other requests.
 func (n *Node) callTimeout(m *wire.QuorumMessage) time.Duration {
 	switch m.Kind {
-	case wire.MessageKind_MESSAGE_KIND_APPEND, wire.MessageKind_MESSAGE_KIND_SNAPSHOT:
+	case wire.MessageKind_MESSAGE_KIND_APPEND, wire.MessageKind_MESSAGE_KIND_SNAPSHOT,
+		wire.MessageKind_MESSAGE_KIND_VOTE:
 		return 4 * n.settings.ElectionTimeout
 	default:
 		return n.settings.ElectionTimeout
--- a/lib/quorum/core.go
+++ b/lib/quorum/core.go
@@ -29,6 +29,8 @@
 	maxInflightAppends = 8
 	// maxBufferedAppends bounds the appends that are kept until their predecessors arrive.
 	maxBufferedAppends = maxInflightAppends
+	// maxBackoffDoublings bounds the delay of elections, as a power of two.
+	maxBackoffDoublings = 3
 	// maxAppendBytes bounds the size of the entries in one append.
 	maxAppendBytes = 1 << 20
 )
@@ -153,7 +155,12 @@
 	applied uint64
 	// persisted is the highest index known to be durable on this member.
 	persisted uint64
-	members   memberTable
+	// durableTerm is the highest term known to be durable on this member.
+	durableTerm uint64
+	// leaderTerm is the highest term in which a leader was known; at first the term at the
+	// start of the process.
+	leaderTerm uint64
+	members    memberTable
 	// snap is the newest snapshot; nil if there is none.
 	snap *snapshot
 	// blocked is set while the disk cannot be written, and after a fault: this member must
@@ -219,6 +226,7 @@
 	if len(c.hard.group) == 0 {
 		c.hard.group = c.members.current().Group
 	}
+	c.durableTerm, c.leaderTerm = c.hard.term, c.hard.term
 	c.resetElection()
 	c.beginColdStart()
 	if c.voter() && c.quorumSize() == 1 {
@@ -256,13 +264,21 @@
 
 func (c *core) resetElection() {
 	t := c.cfg.electionTimeout
-	c.electionAt = c.now.Add(c.minElectionTimeout() + time.Duration(c.cfg.random(int64(t))))
+	c.electionAt = c.now.Add(c.electionBackoff() * (c.minElectionTimeout() + time.Duration(c.cfg.random(int64(t)))))
 }
 
 // retryElection schedules the next election in case the one that starts now fails.
 func (c *core) retryElection() {
 	t := c.cfg.electionTimeout
-	c.electionAt = c.now.Add(t/2 + time.Duration(c.cfg.random(int64(t))))
+	c.electionAt = c.now.Add(c.electionBackoff() * (t/2 + time.Duration(c.cfg.random(int64(t)))))
+}
+
+// electionBackoff is the factor by which the next election is delayed. It doubles with each
+// term that ended without a leader, because a sync on a slow disk may take longer than an
+// election. All members count the same terms, so voters wait as long as candidates.
+func (c *core) electionBackoff() time.Duration {
+	failed := max(c.hard.term-c.leaderTerm, 1) - 1
+	return 1 << min(failed, maxBackoffDoublings)
 }
 
 func (c *core) hardChanged() {
@@ -459,19 +475,40 @@
 	c.persisted = max(c.persisted, index)
 	if c.role == leader {
 		c.advanceCommit()
-		c.termDurable()
 	}
 }
 
-// termDurable begins to send once the term of this leader is durable: a member that starts
-// again takes at least the term of its last entry.
-func (c *core) termDurable() {
-	if !c.lead.unsynced || c.persisted < c.lead.firstIndex {
-		return
+// termDurable records that a hard state with the given term is on disk.
+func (c *core) termDurable(now time.Time, term uint64) {
+	c.tick(now)
+	before := c.termIsDurable()
+	c.durableTerm = max(c.durableTerm, term)
+	if c.role == leader && !before && c.termIsDurable() {
+		c.heartbeat()
+		c.send()
+	}
+}
+
+// termIsDurable reports whether the current term is on disk. A leader sends nothing before:
+// the only voter, which needs no vote of others, could otherwise lead the same term again
+// after a restart, with other entries.
+func (c *core) termIsDurable() bool { return c.durableTerm >= c.hard.term }
+
+// replyNeedsNoWrite reports whether the reply r to m depends on nothing that has yet to
+// become durable. Heartbeats and pre-votes are answered at once then, so that a member with
+// a slow disk does not look like a lost one. It must be called before takeOutput.
+func (c *core) replyNeedsNoWrite(m, r *wire.QuorumMessage) bool {
+	o := &c.out
+	if o.hard != nil || o.install != nil || o.truncate != 0 || len(o.entries) > 0 || !c.termIsDurable() {
+		return false
+	}
+	switch m.Kind {
+	case wire.MessageKind_MESSAGE_KIND_PRE_VOTE:
+		return true
+	case wire.MessageKind_MESSAGE_KIND_APPEND:
+		return len(m.Entries) == 0 && r.Accepted && r.LastIndex == m.PrevIndex && r.LastIndex <= c.persisted
 	}
-	c.lead.unsynced = false
-	c.heartbeat()
-	c.send()
+	return false
 }
 
 // setBlocked records whether writes to the disk fail; a leader or candidate steps down
--- a/lib/quorum/disk.go
+++ b/lib/quorum/disk.go
@@ -132,9 +132,12 @@
 	if hard == nil {
 		return nil
 	}
-	return n.store.SetMeta(store.Meta{
-		Term: hard.term, Vote: hard.vote, VoteDisk: hard.voteDisk, Group: hard.group,
-	})
+	meta := store.Meta{Term: hard.term, Vote: hard.vote, VoteDisk: hard.voteDisk, Group: hard.group}
+	if err := n.store.SetMeta(meta); err != nil {
+		return err
+	}
+	n.post(func() { n.core.termDurable(n.clock(), meta.Term) })
+	return nil
 }
 
 // appendEntries writes the entries of consecutive jobs with one fsync.
--- a/lib/quorum/follow.go
+++ b/lib/quorum/follow.go
@@ -30,6 +30,7 @@
 		c.hard.group = m.Group
 		c.hardChanged()
 	}
+	c.leaderTerm = m.Term
 	c.becomeFollower(m.Term, m.From)
 	c.lastContact = c.now
 	c.endColdStart()
--- a/lib/quorum/lead.go
+++ b/lib/quorum/lead.go
@@ -18,10 +18,6 @@
 	// firstIndex is the index of the first entry of this leader; entries of earlier terms
 	// are committed only together with it.
 	firstIndex uint64
-	// unsynced is set until the term of this leader is durable, and nothing is sent while it
-	// is. The only voter needs no vote of others, which are requested after a sync: after a
-	// restart it would lead the same term again, with other entries.
-	unsynced bool
 	// quorumContactAt is the latest time such that a majority has answered requests sent
 	// at or after it; zero before a majority has answered.
 	quorumContactAt time.Time
@@ -84,9 +80,8 @@
 func (c *core) becomeLeader() {
 	c.role, c.leaderID, c.votes = leader, c.cfg.id, nil
 	c.endColdStart()
-	c.lead = &leaderState{
-		since: c.now, firstIndex: c.log.last() + 1, unsynced: c.quorumSize() == 1, peers: map[string]*progress{},
-	}
+	c.leaderTerm = c.hard.term
+	c.lead = &leaderState{since: c.now, firstIndex: c.log.last() + 1, peers: map[string]*progress{}}
 	c.syncPeers(c.lead.firstIndex)
 	c.updateGrowing()
 	c.propose(nil, nil)
--- a/lib/quorum/node_test.go
+++ b/lib/quorum/node_test.go
@@ -278,6 +278,26 @@
 	wg.Wait()
 }
 
+// Guards against a group without a leader while each sync takes longer than the election
+// timeout: votes that arrive after the next election has begun, and heartbeats that wait for
+// the disk, so that the leader steps down.
+func TestSlowDisksElectALeader(t *testing.T) {
+	files := store.OSFiles()
+	var slow atomic.Bool
+	files.Sync = func(f *os.File) error {
+		if slow.Load() {
+			time.Sleep(600 * time.Millisecond)
+		}
+		return f.Sync()
+	}
+	g := newGroup(t, 3, nil, WithStore(store.WithFiles(files)))
+	g.propose("one")
+	slow.Store(true)
+	g.kill(g.leader())
+	g.propose("two")
+	slow.Store(false)
+}
+
 // Guards against forming a group while an initial member is missing or already belongs
 // to another group.
 func TestFormationNeedsAllEmpty(t *testing.T) {
--- a/lib/quorum/replica.go
+++ b/lib/quorum/replica.go
@@ -126,6 +126,9 @@
 		out := r.core.takeOutput()
 		r.persist(&out)
 		r.outbox = append(append(r.outbox, out.immediate...), out.messages...)
+		if out.hard != nil {
+			r.core.termDurable(now, out.hard.term)
+		}
 		if out.install != nil {
 			if err := r.restore(out.install); err != nil {
 				return nil, err
@@ -134,9 +137,12 @@
 		for _, e := range out.commits {
 			r.apply(now, e)
 		}
-		if len(out.entries) == 0 {
+		if len(out.entries) == 0 && out.hard == nil {
 			break
 		}
+		if len(out.entries) == 0 {
+			continue
+		}
 		last := out.entries[len(out.entries)-1]
 		r.core.entriesDurable(now, last.Index, last.Term)
 	}
--- a/lib/quorum/replicate.go
+++ b/lib/quorum/replicate.go
@@ -66,7 +66,7 @@
 // heartbeat sends an empty append to all members, and from time to time Hello to the initial
 // members that are not in the group.
 func (c *core) heartbeat() {
-	if c.lead.unsynced {
+	if !c.termIsDurable() {
 		return
 	}
 	cur := c.members.current()
@@ -97,7 +97,7 @@
 
 // send sends each member as many entries as its window allows.
 func (c *core) send() {
-	if c.lead.unsynced {
+	if !c.termIsDurable() {
 		return
 	}
 	for _, m := range c.members.current().Members {
