--- a/lib/quorum/core.go
+++ b/lib/quorum/core.go
@@ -29,8 +29,6 @@
 	maxInflightAppends = 8
 	// maxBufferedAppends bounds the appends that are kept until their predecessors arrive.
 	maxBufferedAppends = maxInflightAppends
-	// maxBackoffDoublings bounds the delay of elections, as a power of two.
-	maxBackoffDoublings = 3
 	// maxAppendBytes bounds the size of the entries in one append.
 	maxAppendBytes = 1 << 20
 )
@@ -69,38 +67,6 @@
 	group []byte
 }
 
-// snapshot is the replicated state after applying the entry at index.
-type snapshot struct {
-	index uint64
-	term  uint64
-	// data is an encoded wire.QuorumSnapshot.
-	data []byte
-	// membership and millis are decoded from data.
-	membership *wire.Membership
-	millis     int64
-}
-
-// newSnapshot decodes data, except for the state of the state machine.
-func newSnapshot(index, term uint64, data []byte) (*snapshot, error) {
-	state := &wire.QuorumSnapshot{}
-	if err := proto.Unmarshal(data, state); err != nil {
-		return nil, fmt.Errorf("decode snapshot %d: %w", index, err)
-	}
-	return &snapshot{
-		index: index, term: term, data: data, membership: state.Membership, millis: state.UnixMillis,
-	}, nil
-}
-
-// machineState decodes the state of the state machine. It is not cached: the leader
-// keeps only data in memory.
-func (s *snapshot) machineState() ([]byte, error) {
-	state := &wire.QuorumSnapshot{}
-	if err := proto.Unmarshal(s.data, state); err != nil {
-		return nil, fmt.Errorf("decode snapshot %d: %w", s.index, err)
-	}
-	return state.Machine, nil
-}
-
 // output is the work that a call of the core leaves to its caller, in this order:
 // send immediate; persist install, truncate, entries and hard; then send messages.
 // Committed entries may be applied at any time, in order.
@@ -255,32 +221,6 @@
 	return m != nil && m.Voter && bytes.Equal(m.DiskId, c.cfg.diskID)
 }
 
-// minElectionTimeout is the time after contact with a leader during which a member
-// grants no vote. It exceeds the election timeout, after which the leader steps down
-// by its own clock, by an eighth: more than clocks drift apart in that time.
-func (c *core) minElectionTimeout() time.Duration {
-	return c.cfg.electionTimeout + c.cfg.electionTimeout/8
-}
-
-func (c *core) resetElection() {
-	t := c.cfg.electionTimeout
-	c.electionAt = c.now.Add(c.electionBackoff() * (c.minElectionTimeout() + time.Duration(c.cfg.random(int64(t)))))
-}
-
-// retryElection schedules the next election in case the one that starts now fails.
-func (c *core) retryElection() {
-	t := c.cfg.electionTimeout
-	c.electionAt = c.now.Add(c.electionBackoff() * (t/2 + time.Duration(c.cfg.random(int64(t)))))
-}
-
-// electionBackoff is the factor by which the next election is delayed. It doubles with each
-// term that ended without a leader, because a sync on a slow disk may take longer than an
-// election. All members count the same terms, so voters wait as long as candidates.
-func (c *core) electionBackoff() time.Duration {
-	failed := max(c.hard.term-c.leaderTerm, 1) - 1
-	return 1 << min(failed, maxBackoffDoublings)
-}
-
 func (c *core) hardChanged() {
 	h := c.hard
 	c.out.hard = &h
@@ -466,60 +406,6 @@
 	}
 }
 
-// entriesDurable records that the entries up to index, whose last one is of term, are on disk.
-func (c *core) entriesDurable(now time.Time, index, term uint64) {
-	c.tick(now)
-	if t, ok := c.log.term(index); !ok || t != term {
-		return // The entry was truncated or replaced during the write.
-	}
-	c.persisted = max(c.persisted, index)
-	if c.role == leader {
-		c.advanceCommit()
-	}
-}
-
-// termDurable records that a hard state with the given term is on disk.
-func (c *core) termDurable(now time.Time, term uint64) {
-	c.tick(now)
-	before := c.termIsDurable()
-	c.durableTerm = max(c.durableTerm, term)
-	if c.role == leader && !before && c.termIsDurable() {
-		c.heartbeat()
-		c.send()
-	}
-}
-
-// termIsDurable reports whether the current term is on disk. A leader sends nothing before:
-// the only voter, which needs no vote of others, could otherwise lead the same term again
-// after a restart, with other entries.
-func (c *core) termIsDurable() bool { return c.durableTerm >= c.hard.term }
-
-// replyNeedsNoWrite reports whether the reply r to m depends on nothing that has yet to
-// become durable. Heartbeats and pre-votes are answered at once then, so that a member with
-// a slow disk does not look like a lost one. It must be called before takeOutput.
-func (c *core) replyNeedsNoWrite(m, r *wire.QuorumMessage) bool {
-	o := &c.out
-	if o.hard != nil || o.install != nil || o.truncate != 0 || len(o.entries) > 0 || !c.termIsDurable() {
-		return false
-	}
-	switch m.Kind {
-	case wire.MessageKind_MESSAGE_KIND_PRE_VOTE:
-		return true
-	case wire.MessageKind_MESSAGE_KIND_APPEND:
-		return len(m.Entries) == 0 && r.Accepted && r.LastIndex == m.PrevIndex && r.LastIndex <= c.persisted
-	}
-	return false
-}
-
-// setBlocked records whether writes to the disk fail; a leader or candidate steps down
-// if they do. After a fault the member stays blocked.
-func (c *core) setBlocked(blocked bool) {
-	c.blocked = blocked || c.fault != nil
-	if blocked && c.role != follower {
-		c.becomeFollower(c.hard.term, "")
-	}
-}
-
 // setFault records a protocol violation; the member stops voting and leading.
 func (c *core) setFault(format string, args ...any) {
 	if c.fault == nil {
--- a/lib/quorum/election.go
+++ b/lib/quorum/election.go
@@ -2,10 +2,40 @@
 
 import (
 	"bytes"
+	"time"
 
 	"bulrushpath.example/lib/wire"
 )
 
+// maxBackoffDoublings bounds the delay of elections, as a power of two.
+const maxBackoffDoublings = 3
+
+// minElectionTimeout is the time after contact with a leader during which a member
+// grants no vote. It exceeds the election timeout, after which the leader steps down
+// by its own clock, by an eighth: more than clocks drift apart in that time.
+func (c *core) minElectionTimeout() time.Duration {
+	return c.cfg.electionTimeout + c.cfg.electionTimeout/8
+}
+
+func (c *core) resetElection() {
+	t := c.cfg.electionTimeout
+	c.electionAt = c.now.Add(c.electionBackoff() * (c.minElectionTimeout() + time.Duration(c.cfg.random(int64(t)))))
+}
+
+// retryElection schedules the next election in case the one that starts now fails.
+func (c *core) retryElection() {
+	t := c.cfg.electionTimeout
+	c.electionAt = c.now.Add(c.electionBackoff() * (t/2 + time.Duration(c.cfg.random(int64(t)))))
+}
+
+// electionBackoff is the factor by which the next election is delayed. It doubles with each
+// term that ended without a leader, because a sync on a slow disk may take longer than an
+// election. All members count the same terms, so voters wait as long as candidates.
+func (c *core) electionBackoff() time.Duration {
+	failed := max(c.hard.term-c.leaderTerm, 1) - 1
+	return 1 << min(failed, maxBackoffDoublings)
+}
+
 // becomeFollower makes this member a follower of the leader id in term; id is empty if
 // the leader is unknown.
 func (c *core) becomeFollower(term uint64, id string) {
--- a/lib/quorum/member.go
+++ b/lib/quorum/member.go
@@ -102,6 +102,9 @@
 	return out
 }
 
+// sameID reports whether two disk identities, or two group ids, are equal.
+func sameID(a, b []byte) bool { return bytes.Equal(a, b) }
+
 // groupID derives the id of a group from its initial members.
 func groupID(members []*wire.Member) []byte {
 	h := sha256.New()
