--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -98,17 +98,9 @@
 		case unreached, notRun:
 			c.tried[choice.Target.ID] = true
 		case incomplete:
-			c.incompleteAttempts++
 			c.tried[choice.Target.ID] = true
-			c.recordLost(err)
-			if c.isSuspect() {
-				return &failure{status: http.StatusBadGateway, reason: "targets are lost with this request: " + err.Error()}
-			}
-			if c.mayHaveCrashed(err) {
-				return &failure{status: http.StatusBadGateway, reason: "the target was lost, perhaps by this request: " + err.Error()}
-			}
-			if !c.route.Repeatable() || c.incompleteAttempts >= max(c.route.MaxAttempts, 1) {
-				return &failure{status: http.StatusBadGateway, reason: "answer incomplete: " + err.Error()}
+			if f := c.afterIncomplete(err); f != nil {
+				return f
 			}
 		}
 		sends++
@@ -118,6 +110,25 @@
 	}
 }
 
+// afterIncomplete records that a target may have run the request without a complete response.
+// It returns a failure if the request must not be resent.
+func (c *call) afterIncomplete(err error) *failure {
+	c.incompleteAttempts++
+	c.recordLost(err)
+	reason := ""
+	switch {
+	case c.isSuspect():
+		reason = "targets are lost with this request"
+	case !c.route.Repeatable() || c.incompleteAttempts >= max(c.route.MaxAttempts, 1):
+		reason = "answer incomplete"
+	case c.mayHaveCrashed(err):
+		reason = "the target was lost, perhaps by this request"
+	default:
+		return nil
+	}
+	return &failure{status: http.StatusBadGateway, reason: reason + ": " + err.Error()}
+}
+
 func (c *call) noAdapterFailure() *failure {
 	if c.incompleteAttempts > 0 || c.headerSent {
 		return &failure{status: http.StatusBadGateway, reason: "answer incomplete and no other target has the adapter"}
