--- a/lib/state/claim.go
+++ b/lib/state/claim.go
@@ -161,7 +161,8 @@
 	if notRun && c.hasReleased(req.GetAttempt()) {
 		return &wire.SettleReply{Accepted: true}, nil
 	}
-	if !bytes.Equal(c.rec.GetAttempt(), req.GetAttempt()) {
+	// A released claim has no holder, and an empty attempt.
+	if len(req.GetAttempt()) == 0 || !bytes.Equal(c.rec.GetAttempt(), req.GetAttempt()) {
 		return &wire.SettleReply{}, nil
 	}
 	c.expireRunning(now)
--- a/lib/state/claim_test.go
+++ b/lib/state/claim_test.go
@@ -166,6 +166,18 @@
 	}
 }
 
+// Guards against an outcome without an attempt that a released claim, which has no holder,
+// takes for its own and gives to later callers.
+func TestReleasedClaimTakesNoOutcome(t *testing.T) {
+	d := newDriver()
+	req := &wire.ClaimRequest{Key: "k", Digest: digest32(1), Attempt: []byte("a"), IssuedUnixMillis: d.at.UnixMilli()}
+	assert.Equal(t, d.claim(req), wire.ClaimOutcome_CLAIM_OUTCOME_GRANTED)
+	assert.Assert(t, d.settle(&wire.SettleRequest{Key: "k", Attempt: []byte("a"), Outcome: wire.SettleOutcome_SETTLE_OUTCOME_NOT_RUN}))
+	assert.Assert(t, !d.settle(&wire.SettleRequest{Key: "k", Outcome: wire.SettleOutcome_SETTLE_OUTCOME_COMPLETED}))
+	req.Attempt = []byte("b")
+	assert.Equal(t, d.claim(req), wire.ClaimOutcome_CLAIM_OUTCOME_GRANTED)
+}
+
 // Guards against a retry that has a later issue time than the claim and runs again
 // after the claim has expired.
 func TestLaterIssueTimeExtendsTheClaim(t *testing.T) {
