--- a/entry/gate/parts_test.go
+++ b/entry/gate/parts_test.go
@@ -19,7 +19,8 @@
 
 // Guards against a resend of the request that has crashed its target, which crashes the next
 // one; and against lost requests that are not resent although they cannot be to blame, since
-// an answer has cleared their parts or the target still runs.
+// an answer has cleared their parts or the target still runs. A prompt with X crashes each
+// target, one with C its first target, and the first connection of one with L breaks.
 func TestRequestThatMayHaveCrashedItsTargetIsNotResent(t *testing.T) {
 	var fx *fixture
 	started := make(chan struct{})
