Wait for the orders of an engine without polling

The lock that serializes the orders to one engine was a mutex, and an adapter fetch that may wait for it only for a while tried it every 2 ms. It is a channel now, whose wait is bounded by a timer. Tests in virtual time need that too: a goroutine that waits for a mutex stops their clock.

--- a/control/adapter.go
+++ b/control/adapter.go
@@ -19,7 +19,6 @@
 	// adapterLockTimeout bounds the wait for other orders to the same engine; after a
 	// longer wait, another target would serve the request sooner.
 	adapterLockTimeout = 250 * time.Millisecond
-	lockPollInterval   = 2 * time.Millisecond
 	// unansweredAdapterTimeout is how long an adapter counts as loading when its load
 	// order was not answered.
 	unansweredAdapterTimeout = 15 * time.Second
@@ -69,13 +68,13 @@
 }
 
 // loadAdapter sends a load order unless the adapter is already resident. If all adapter
-// slots are in use, it unloads another adapter first. It holds eng.sendMu, so each
+// slots are in use, it unloads another adapter first. It holds eng.sending, so each
 // engine handles one fetch at a time.
 func (f *Fleet) loadAdapter(term uint64, eng *engine, model, adapter string) (readyAt time.Time, err error) {
-	if !f.lockEngine(eng) {
+	if !eng.sending.tryLock(f.ctx, adapterLockTimeout) {
 		return time.Time{}, errOrderPending
 	}
-	defer eng.sendMu.Unlock()
+	defer eng.sending.unlock()
 	if at, ok := f.adapterReadyAt(eng, model, adapter); ok {
 		return at, nil
 	}
@@ -126,17 +125,6 @@
 	return eng.Order != nil && eng.Sent
 }
 
-// lockEngine locks eng.sendMu and reports whether it succeeded within
-// adapterLockTimeout.
-func (f *Fleet) lockEngine(eng *engine) bool {
-	for end := time.Now().Add(adapterLockTimeout); !eng.sendMu.TryLock(); {
-		if time.Now().After(end) || !f.sleep(lockPollInterval) {
-			return false
-		}
-	}
-	return true
-}
-
 // adapterReadyAt returns the time from which the adapter can be used, and updates the
 // time of its last use. ok is false if the adapter is not resident, is being unloaded, or
 // is not expected to be ready within adapterLoadTime, as after an unanswered order.
--- a/control/order.go
+++ b/control/order.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"bulrushpath.example/lib/fleet"
@@ -104,14 +103,36 @@
 	// announcement is the engine's last announcement. Like Target, it is guarded by
 	// Fleet.mu.
 	announcement fleet.Announcement
-	// sendMu serializes the orders to this engine.
-	sendMu sync.Mutex
+	// sending serializes the orders to this engine.
+	sending orderLock
 	// orderCount is the number of orders that the engine has accepted, valid if
-	// orderCountKnown is set. Both are guarded by sendMu.
+	// orderCountKnown is set. Both are guarded by sending.
 	orderCount      uint64
 	orderCountKnown bool
 }
 
+// orderLock serializes the orders to one engine. Unlike that of a mutex, its wait can be
+// bounded.
+type orderLock chan struct{}
+
+func newOrderLock() orderLock { return make(orderLock, 1) }
+
+func (l orderLock) lock() { l <- struct{}{} }
+
+func (l orderLock) unlock() { <-l }
+
+// tryLock reports whether it has locked l within d, before ctx ended.
+func (l orderLock) tryLock(ctx context.Context, d time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	select {
+	case l <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // modelRecords returns the models of a target as they are sent to entry instances.
 // ordered reports whether a model order is planned or in progress. The caller holds mu.
 func (f *Fleet) modelRecords(id string, held []fleet.Model) (list []*wire.FleetModel, ordered bool) {
@@ -130,7 +151,7 @@
 func (f *Fleet) observe(now time.Time, a fleet.Announcement, e EngineState) bool {
 	eng := f.engines[a.ID]
 	if eng == nil {
-		eng = &engine{Target: *scale.NewTarget(a.ID, a.Zone)}
+		eng = &engine{Target: *scale.NewTarget(a.ID, a.Zone), sending: newOrderLock()}
 		f.engines[a.ID] = eng
 	}
 	eng.announcement = a
@@ -212,9 +233,9 @@
 	if o.Op == scale.Unload && !f.sleep(unloadDelay) {
 		return
 	}
-	eng.sendMu.Lock()
+	eng.sending.lock()
 	result, err := f.sendOrder(term, eng, o)
-	eng.sendMu.Unlock()
+	eng.sending.unlock()
 	f.log.Info().Str("event", "orderAnswered").Str("target", eng.ID).Str("op", o.Op.String()).
 		Str("model", o.Model).Uint64("term", term).Str("outcome", result.String()).Err(err).Msg("")
 	f.mu.Lock()
@@ -246,7 +267,7 @@
 
 // sendOrder sends an order until its outcome is known or all attempts are used up.
 // Resending is safe because the engine accepts at most one order for each value of its
-// order count. The caller holds eng.sendMu.
+// order count. The caller holds eng.sending.
 func (f *Fleet) sendOrder(term uint64, eng *engine, o scale.Order) (result SendResult, err error) {
 	result = NotSent
 	unanswered := false
@@ -311,7 +332,7 @@
 
 // refreshOrderCount reads the order count from the engine if it is not known.
 // unanswered is set if an earlier attempt to send this order was not answered; done
-// reports that the engine has accepted that attempt. The caller holds eng.sendMu.
+// reports that the engine has accepted that attempt. The caller holds eng.sending.
 func (f *Fleet) refreshOrderCount(term uint64, eng *engine, o scale.Order, unanswered bool) (done bool, err error) {
 	if eng.orderCountKnown {
 		return false, nil
