Send an engine no order while it executes that of a previous leader

A drawn history shows the cause: a new leader that fetches an adapter reads the order count of an engine that still loads a model for the previous leader. The count is then known, but not what it stands for. Once the load ends, and before the next announcement, the planner orders another model into memory that is not free. The engine refuses adapter orders meanwhile anyway, so nothing is lost by giving up at once.

Ruled out: the order count itself, which orders that arrive late never break.

TestOrdersStayWithinLimits plays the real Fleet in virtual time with orders that are late by 2 to 12 s or lost, late announcements, restarts and changes of leader.

--- a/control/order.go
+++ b/control/order.go
@@ -39,6 +39,9 @@
 // answered.
 var errOrderAbandoned = errors.New("target or leadership lost")
 
+// errEngineBusy means that an engine executes a model order that is not the one at hand.
+var errEngineBusy = errors.New("engine is executing another order")
+
 // SendResult is the outcome of sending an order to an engine.
 type SendResult int
 
@@ -346,11 +349,13 @@
 	if err != nil {
 		return false, fmt.Errorf("read engine report: %w", err)
 	}
-	if e.Busy && o.Adapter == "" {
-		if unanswered {
+	if e.Busy {
+		// The count includes an order whose effect the report does not show: it may have
+		// come from a previous leader.
+		if unanswered && o.Adapter == "" {
 			return true, nil
 		}
-		return false, errors.New("engine is executing another order")
+		return false, errEngineBusy
 	}
 	eng.orderCount, eng.orderCountKnown = e.AcceptedOrders, true
 	f.mu.Lock()
