Ask the engine before the next order once announcements made the leader forget something

An announcement may arrive seconds late. Two that were sent before an adapter was loaded, and arrived more than maxReportDelay apart, removed the adapter from the leader's record, and the next one exceeded the adapter slots of the engine. What announcements leave out is still removed, but the next order reads the engine's own report first.

--- a/control/history_test.go
+++ b/control/history_test.go
@@ -507,3 +507,28 @@
 		assert.Equal(t, h.exceeded(), "")
 	})
 }
+
+// Guards against announcements that were sent before an adapter was loaded and arrive seconds
+// later: the leader forgot the adapter and loaded more than the engine has slots for.
+func TestAnnouncementsFromBeforeALoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newOrderHistory(t, 1)
+		defer h.close()
+		e := h.engines[0]
+		e.hold("m0")
+		e.announce(h.fleet)
+		time.Sleep(10 * time.Millisecond)
+		before := e.history
+		for i := range historySlots {
+			h.fetch(e.id, "m0", fmt.Sprint("a", i))
+			time.Sleep(3 * time.Second)
+		}
+		for range 2 {
+			e.announceAs(h.fleet, before[len(before)-1], 0)
+			time.Sleep(maxAnnouncementDelay)
+		}
+		h.fetch(e.id, "m0", "a4")
+		time.Sleep(time.Second)
+		assert.Equal(t, h.exceeded(), "")
+	})
+}
--- a/control/order.go
+++ b/control/order.go
@@ -333,11 +333,15 @@
 	return result, err
 }
 
-// refreshOrderCount reads the order count from the engine if it is not known.
+// refreshOrderCount reads the order count and the models from the engine if the count is not
+// known or the leader's record of the models is in doubt.
 // unanswered is set if an earlier attempt to send this order was not answered; done
 // reports that the engine has accepted that attempt. The caller holds eng.sending.
 func (f *Fleet) refreshOrderCount(term uint64, eng *engine, o scale.Order, unanswered bool) (done bool, err error) {
-	if eng.orderCountKnown {
+	f.mu.Lock()
+	upToDate := eng.orderCountKnown && !eng.Forgot
+	f.mu.Unlock()
+	if upToDate {
 		return false, nil
 	}
 	if !f.mayOrder(term, eng) {
@@ -362,6 +366,7 @@
 	defer f.mu.Unlock()
 	eng.ObserveCached(e.Cached)
 	eng.Observe(time.Now(), e.Held)
+	eng.Forgot = false
 	if o.Adapter != "" {
 		return unanswered && scale.Holds(e.Held, o.Model, o.Adapter) == (o.Op == scale.Load), nil
 	}
@@ -381,7 +386,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, err := f.engineConfig(eng)
-	return err == nil && eng.WithinLimits(e)
+	return err == nil && !eng.Forgot && eng.WithinLimits(e)
 }
 
 // markSent records that the engine may have received its model order. Adapter orders
--- a/lib/scale/target.go
+++ b/lib/scale/target.go
@@ -96,6 +96,9 @@
 	share float64
 	// BackoffUntil is the end of the back-off after a failed model order.
 	BackoffUntil time.Time
+	// Forgot reports whether a copy or an adapter was removed because announcements left it
+	// out. They may be seconds late, so the engine has to be asked before the next order.
+	Forgot bool
 }
 
 // NewTarget returns the record of a newly announced engine.
@@ -124,7 +127,7 @@
 			c = &Copy{Since: now, Adapters: make(map[string]*Adapter)}
 			t.Copies[h.Model], changed = c, true
 		}
-		c.observeAdapters(now, h.Adapters)
+		t.Forgot = c.observeAdapters(now, h.Adapters) || t.Forgot
 	}
 	for name, c := range t.Copies {
 		switch {
@@ -137,7 +140,7 @@
 			c.missingSince = now
 		case now.Sub(c.missingSince) > maxReportDelay:
 			delete(t.Copies, name)
-			changed = true
+			changed, t.Forgot = true, true
 		}
 	}
 	return t.completeOrder(names) || changed
@@ -152,8 +155,9 @@
 	}
 }
 
-// observeAdapters applies the reported adapters of the model.
-func (c *Copy) observeAdapters(now time.Time, adapters []string) {
+// observeAdapters applies the reported adapters of the model. It returns true if it removed
+// one.
+func (c *Copy) observeAdapters(now time.Time, adapters []string) (removed bool) {
 	names := make(map[string]bool, len(adapters))
 	for _, a := range adapters {
 		names[a] = true
@@ -169,8 +173,10 @@
 			a.missingSince = now
 		case now.Sub(a.missingSince) > maxReportDelay && now.Sub(a.ReadyAt) > maxReportDelay:
 			delete(c.Adapters, name)
+			removed = true
 		}
 	}
+	return removed
 }
 
 // Holds reports whether an engine's report lists the adapter under the model.
