Keep the reservation of an order that one attempt left unanswered

An order with an unanswered attempt now counts as unanswered unless one is confirmed. The count is read anew after the unload of an adapter that only announcements have shown.

--- a/control/adapter.go
+++ b/control/adapter.go
@@ -106,7 +106,7 @@
 	case Accepted, AlreadyInEffect:
 		readyAt = time.Now().Add(adapterLoadTime)
 		if a := c.Adapters[adapter]; a != nil {
-			a.ReadyAt = readyAt
+			a.ReadyAt, a.Confirmed = readyAt, true
 		}
 		return readyAt, nil
 	case Unanswered:
@@ -180,6 +180,10 @@
 	}
 	switch result {
 	case AlreadyInEffect:
+		if !c.Adapters[adapter].Confirmed {
+			// It may have been gone already, and the order was not counted then.
+			eng.orderCountKnown = false
+		}
 		delete(c.Adapters, adapter)
 		return nil
 	case Accepted, Unanswered:
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -272,6 +272,28 @@
 	}
 }
 
+// Guards against a leader that gives the slot of an adapter to another one although the engine
+// may still execute an unanswered attempt, because a later attempt had no room.
+func TestUnansweredAttemptKeepsItsSlot(t *testing.T) {
+	e := newFakeEngine()
+	e.models["m0"] = map[string]bool{}
+	f := startFleet(t, e)
+	announce(t, f, e, 1)
+	e.answer = func(int) (bool, bool) {
+		// A late announcement lists adapters that are gone.
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, name := range []string{"a8", "a9"} {
+			f.engines["t1"].Copies["m0"].Adapters[name] = &scale.Adapter{}
+		}
+		return false, false
+	}
+	assert.ErrorContains(t, fetch(t, f, "a1"), Unanswered.String())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Assert(t, f.engines["t1"].Copies["m0"].Adapters["a1"] != nil)
+}
+
 // Guards against the eviction of an adapter in use, and against orders to an engine
 // whose adapter slots are all in use.
 func TestAdaptersInUseAreNotEvicted(t *testing.T) {
--- a/control/order.go
+++ b/control/order.go
@@ -271,27 +271,38 @@
 // sendOrder sends an order until its outcome is known or all attempts are used up.
 // Resending is safe because the engine accepts at most one order for each value of its
 // order count. The caller holds eng.sending.
-func (f *Fleet) sendOrder(term uint64, eng *engine, o scale.Order) (result SendResult, err error) {
+func (f *Fleet) sendOrder(term uint64, eng *engine, o scale.Order) (SendResult, error) {
+	result, unanswered, err := f.attemptOrder(term, eng, o)
+	if unanswered && result != Accepted && result != AlreadyInEffect {
+		// The engine may still execute an earlier attempt, whatever the last one met.
+		eng.orderCountKnown = false
+		return Unanswered, err
+	}
+	return result, err
+}
+
+// attemptOrder does the work of sendOrder. unanswered reports whether an attempt was not
+// answered. The caller holds eng.sending.
+func (f *Fleet) attemptOrder(term uint64, eng *engine, o scale.Order) (result SendResult, unanswered bool, err error) {
 	result = NotSent
-	unanswered := false
 	for range maxSendAttempts {
 		done, countErr := f.refreshOrderCount(term, eng, o, unanswered)
 		switch {
 		case countErr != nil:
 			err = countErr
 			if !f.sleep(conflictRetryDelay) {
-				return result, err
+				return result, unanswered, err
 			}
 			continue
 		case done:
-			return Accepted, nil
+			return Accepted, unanswered, nil
 		case !f.mayOrder(term, eng):
 			if err == nil {
-				return result, errOrderAbandoned
+				return result, unanswered, errOrderAbandoned
 			}
-			return result, fmt.Errorf("%w: %w", errOrderAbandoned, err)
+			return result, unanswered, fmt.Errorf("%w: %w", errOrderAbandoned, err)
 		case o.Op == scale.Load && !f.withinLimits(eng):
-			return NoRoom, errors.New("order would exceed the limits of the engine")
+			return NoRoom, unanswered, errors.New("order would exceed the limits of the engine")
 		}
 		f.markSent(eng, o)
 		ctx, cancel := context.WithTimeout(f.ctx, sendTimeout)
@@ -301,7 +312,7 @@
 		switch result {
 		case Accepted:
 			eng.orderCount++
-			return result, nil
+			return result, unanswered, nil
 		case AlreadyInEffect:
 			// The engine unloads an idle adapter immediately and counts the order as
 			// accepted. For other orders, it is unknown whether they were counted.
@@ -310,27 +321,23 @@
 			} else {
 				eng.orderCountKnown = false
 			}
-			return result, nil
+			return result, unanswered, nil
 		case Fenced, Invalid, NoRoom:
-			return result, err
+			return result, unanswered, err
 		case Conflict:
 			eng.orderCountKnown = false
 			if !f.sleep(conflictRetryDelay) {
-				return result, err
+				return result, unanswered, err
 			}
 		case Unanswered:
 			unanswered = true
 		case NotSent:
 			if !unanswered {
-				return result, err
+				return result, unanswered, err
 			}
 		}
 	}
-	if unanswered {
-		eng.orderCountKnown = false
-		return Unanswered, err
-	}
-	return result, err
+	return result, unanswered, err
 }
 
 // refreshOrderCount reads the order count and the models from the engine if the count is not
@@ -366,7 +373,7 @@
 	defer f.mu.Unlock()
 	eng.ObserveCached(e.Cached)
 	eng.Observe(time.Now(), e.Held)
-	eng.Forgot = false
+	eng.Confirm(e.Held)
 	if o.Adapter != "" {
 		return unanswered && scale.Holds(e.Held, o.Model, o.Adapter) == (o.Op == scale.Load), nil
 	}
--- a/lib/scale/target.go
+++ b/lib/scale/target.go
@@ -60,6 +60,9 @@
 	ReadyAt time.Time
 	// LastUsed is the time of the latest request for it.
 	LastUsed time.Time
+	// Confirmed reports whether an accepted order or the engine's own report shows the
+	// adapter. Announcements may be seconds late.
+	Confirmed bool
 	// Unloading reports whether an unload is in progress, which waits for running
 	// requests. The adapter occupies its slot until then.
 	Unloading bool
@@ -146,6 +149,18 @@
 	return t.completeOrder(names) || changed
 }
 
+// Confirm records that held comes from the engine's own report, which is hardly late.
+func (t *Target) Confirm(held []ReportedModel) {
+	t.Forgot = false
+	for _, h := range held {
+		for _, name := range h.Adapters {
+			if c := t.Copies[h.Model]; c != nil && c.Adapters[name] != nil {
+				c.Adapters[name].Confirmed = true
+			}
+		}
+	}
+}
+
 // ObserveCached replaces the set of models whose weights the engine keeps outside its
 // accelerator.
 func (t *Target) ObserveCached(models []string) {
