Record in lib/steer what targets say about themselves in their answers

New on the users' pages: a target that leaves says so in all its answers, and one that refuses a request may ask for a pause.

--- a/lib/steer/target.go
+++ b/lib/steer/target.go
@@ -73,6 +73,10 @@
 	// LastResortAt is the same for a request that no other target takes in time.
 	LastResortAt time.Time
 
+	// PausedUntil is the end of the pause that the target has asked this entry instance for;
+	// zero if it has asked for none.
+	PausedUntil time.Time
+
 	// Own is the load from this entry instance, Others the load from all other ones as
 	// of their latest reports.
 	Own, Others Load
