Send nothing to targets that say that they leave or ask for a pause

No code read either of the two new headers. A target that said in an answer that it leaves got requests until control knew of it too (DRAIN), and one that asked for a pause got resends and requests at once (BUDGET). Both now hold from the answer on, for requests, resends and health checks, and are checked again right before a request is written. A request whose targets are all paused waits if the first pause ends within a tenth of its objective; otherwise it is refused at once, and Retry-After names that end with a random part.

TestLeavingTargetGetsNoRequest, TestPausedTargetsGetNoRequest and TestShortPauseIsWaitedFor failed before; TestTargetsSpeakForThemselves shows the same with two entry processes.

--- a/entry/gate/choose.go
+++ b/entry/gate/choose.go
@@ -65,21 +65,22 @@
 			}
 			return choice, c.deadlineFailure()
 		case <-changed:
-		case <-time.After(defaultReportInterval):
+		case <-time.After(c.pollInterval(now)):
 		}
 	}
 }
 
 // selectTarget selects a target and adds the request to its load. If there is none, until
 // is the time at which a load of the model is expected to finish, or zero if no target is
-// loading it. It fails if the targets of the model have named limits and take no further
-// request in time. The caller holds mu.
+// loading it. It fails if the targets of the model have named limits or have asked for a pause
+// and take no further request in time. The caller holds mu.
 func (c *call) selectTarget(now time.Time) (choice steer.Choice, until time.Time, f *failure) {
 	g := c.gateway
 	targets := g.fleet.services[c.service.Name]
 	s := c.selection()
 	clock := g.tableContact.Now()
-	skip := func(t *steer.Target) bool { return c.tried[t.ID] || !g.acceptsWork(clock, t) }
+	stale := func(t *steer.Target) bool { return !g.acceptsWork(clock, t) }
+	skip := func(t *steer.Target) bool { return c.tried[t.ID] || t.Paused(now) || stale(t) }
 	choice = steer.Pick(now, s, &c.prompt, targets, skip)
 	c.confirming = choice.Target == nil && c.confirmTarget(now, clock, targets)
 	if choice.Target == nil && !c.confirming && len(c.tried) > 0 && steer.Resident(c.prompt.Model, targets) {
@@ -88,11 +89,16 @@
 		choice = steer.Pick(now, s, &c.prompt, targets, skip)
 	}
 	c.countDemand(now, choice)
+	until, loading := steer.LoadingUntil(c.prompt.Model, targets)
+	c.resumesAt, _ = steer.PausedUntil(now, c.prompt.Model, targets, stale)
+	paused := c.resumesAt.Sub(now) > c.maxHold(now) && (!loading || c.resumesAt.Before(until))
+	if choice.Target == nil && !c.confirming && paused {
+		return steer.Choice{}, time.Time{}, c.pauseFailure(now)
+	}
 	if c.limitExhausted(now, choice.Target) {
 		return steer.Choice{}, time.Time{}, c.limitFailure()
 	}
 	if choice.Target == nil {
-		until, _ = steer.LoadingUntil(c.prompt.Model, targets)
 		return choice, until, nil
 	}
 	t := choice.Target
@@ -110,6 +116,15 @@
 	return choice, time.Time{}, nil
 }
 
+// pollInterval returns how long the request waits for a change of the table before it looks
+// for a target again.
+func (c *call) pollInterval(now time.Time) time.Duration {
+	if wait := c.resumesAt.Sub(now); wait > 0 {
+		return min(wait, defaultReportInterval)
+	}
+	return defaultReportInterval
+}
+
 // countDemand counts the request once as demand for its model. A request counts even if
 // no target holds the model, because more than one copy may be needed as soon as
 // possible. The caller holds mu.
--- a/entry/gate/confirm.go
+++ b/entry/gate/confirm.go
@@ -28,6 +28,7 @@
 
 var (
 	errNoHealth   = errors.New("the service has no health check")
+	errPaused     = errors.New("the target has asked for a pause")
 	errNotHealthy = errors.New("the target did not confirm that it accepts requests")
 )
 
@@ -73,7 +74,7 @@
 	choice := steer.Pick(now, c.selection(), &c.prompt, targets, func(t *steer.Target) bool {
 		x := g.fleet.confirmations[t.ID]
 		failed := x != nil && x.startedAt.Equal(t.StartedAt) && now.Before(x.failedUntil)
-		return c.tried[t.ID] || failed || t.Limit > 0 || g.acceptsWork(clock, t)
+		return c.tried[t.ID] || failed || t.Limit > 0 || t.Paused(now) || g.acceptsWork(clock, t)
 	})
 	t := choice.Target
 	if t == nil {
@@ -86,14 +87,14 @@
 	}
 	if !x.pending {
 		x.pending = true
-		dest, service := relay.Target{ID: t.ID, Addr: t.Addr}, c.service
+		dest, service := destination{Target: relay.Target{ID: t.ID, Addr: t.Addr}, startedAt: t.StartedAt}, c.service
 		g.checks.Go(func() { g.runCheck(x, dest, service) })
 	}
 	return true
 }
 
 // runCheck runs one health check and records its outcome in x.
-func (g *Gateway) runCheck(x *confirmation, dest relay.Target, service *site.Service) {
+func (g *Gateway) runCheck(x *confirmation, dest destination, service *site.Service) {
 	sentAt := g.tableContact.Now()
 	err := g.checkHealth(dest, service)
 	if err != nil {
@@ -112,13 +113,20 @@
 
 // checkHealth returns nil if the target answers that it is healthy, which it does not while
 // it is leaving.
-func (g *Gateway) checkHealth(dest relay.Target, service *site.Service) error {
-	if service.HealthPath == "" {
+func (g *Gateway) checkHealth(dest destination, service *site.Service) error {
+	g.mu.Lock()
+	t := g.fleet.targets[dest.ID]
+	paused := t != nil && t.Paused(time.Now())
+	g.mu.Unlock()
+	switch {
+	case service.HealthPath == "":
 		return errNoHealth
+	case paused:
+		return errPaused
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
-	res, err := g.targetConns.Do(ctx, dest, connLimit(service), &relay.Request{
+	res, err := g.targetConns.Do(ctx, dest.Target, connLimit(service), &relay.Request{
 		Method: http.MethodGet, URI: service.HealthPath, Host: dest.Addr.String(),
 		Header: http.Header{g.headers.Target: {dest.ID}}, IDHeader: g.headers.RequestID,
 	})
@@ -126,6 +134,7 @@
 		return fmt.Errorf("health check: %w", err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	g.observeNotices(dest, res)
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxHealthBytes))
 	if res.Status != http.StatusOK || res.Header.Get(g.headers.Instance) != dest.ID {
 		return errNotHealthy
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -182,6 +182,7 @@
 		return c.resultOrCancelled(ctx, res), err
 	}
 	defer func() { _ = answer.Body.Close() }()
+	c.gateway.observeNotices(c.dest, answer)
 	c.observeLimit(answer)
 	if answer.Header.Get(c.gateway.headers.NotRun) != "" || answer.Status == http.StatusMisdirectedRequest {
 		return notRun, errors.New("target answered " + strconv.Itoa(answer.Status) + ", not run")
--- a/entry/gate/fixture_test.go
+++ b/entry/gate/fixture_test.go
@@ -27,7 +27,8 @@
 
 var testHeaders = Headers{
 	RequestID: "T-Id", Deadline: "T-Deadline", Target: "T-Target", NotRun: "T-Not-Run", Seal: "T-Seal",
-	Priority: "T-Priority", Instance: "T-Instance", Limit: "T-Limit", Reserved: []string{"T-Target", "T-Hold"},
+	Priority: "T-Priority", Instance: "T-Instance", Limit: "T-Limit", Leaving: "T-Leaving",
+	Reserved: []string{"T-Target", "T-Hold"},
 }
 
 // fakeControl replies to reports with a fixed target table and a configuration.
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -49,6 +49,8 @@
 	// Limit holds the number of requests per second that a target takes from all entry
 	// instances together; empty if targets name none.
 	Limit string
+	// Leaving is 1 in the answers of a target that is leaving; empty if targets don't say so.
+	Leaving string
 	// CopyFrom holds the address of the target from which the prompt cache is copied.
 	CopyFrom string
 	// Instance holds the id of the target in the answer to a health check.
@@ -123,6 +125,8 @@
 	suspects suspects
 	// limits holds the limits that targets have named.
 	limits quota.Cache
+	// notices holds what targets have said about themselves in their answers.
+	notices steer.Notices
 	// usedAdapters holds the adapters used since the last report, by target id.
 	usedAdapters map[string]map[string]bool
 }
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -60,6 +60,9 @@
 	// lastResort is true if the best target has named a limit and the request would have to
 	// wait for too long there.
 	lastResort bool
+	// resumesAt is the earliest end of the pause of a target that could take the request; zero
+	// if none is paused.
+	resumesAt time.Time
 	// arrivals counts the sends of which a target may have received a part.
 	arrivals int
 	// attempts counts the sends after which a target may have run the request.
--- a/entry/gate/limit.go
+++ b/entry/gate/limit.go
@@ -22,10 +22,10 @@
 	permitRetryDelay = 200 * time.Millisecond
 	// maxPermitRequests is the maximum number of permits for which one request asks.
 	maxPermitRequests = 6
-	// defaultPermitWait is how long a request without an objective may wait for a permit.
-	// Requests with an objective wait for at most permitWaitShare of it.
-	defaultPermitWait = 250 * time.Millisecond
-	permitWaitShare   = 0.1
+	// defaultHold is how long a request without an objective may wait for a target that takes
+	// it only later. Requests with an objective wait for at most holdShare of it.
+	defaultHold = 250 * time.Millisecond
+	holdShare   = 0.1
 	// permitTolerance is the wait beyond the expected one that is accepted where another
 	// target could take the request.
 	permitTolerance = 30 * time.Millisecond
@@ -86,12 +86,12 @@
 	g.applyLimits()
 }
 
-// maxPermitWait is how long the request may wait for a limited target. Longer waits only make
-// all requests late.
-func (c *call) maxPermitWait(now time.Time) time.Duration {
-	d := defaultPermitWait
+// maxHold is how long the request may wait for a target that is limited or paused. Longer waits
+// only make all requests late.
+func (c *call) maxHold(now time.Time) time.Duration {
+	d := defaultHold
 	if c.route.Objective > 0 {
-		d = time.Duration(permitWaitShare * float64(c.route.Objective))
+		d = time.Duration(holdShare * float64(c.route.Objective))
 	}
 	return max(min(d, c.deadline.Sub(now)-responseMargin), 0)
 }
@@ -103,7 +103,7 @@
 	if t == nil || t.Limit <= 0 {
 		return false
 	}
-	maxWait := c.maxPermitWait(now)
+	maxWait := c.maxHold(now)
 	c.lastResort = t.FreeAt.Sub(now) > maxWait
 	c.retryAfter = max(t.LastResortAt.Sub(now), 0)
 	return c.lastResort && c.retryAfter > maxWait || c.permitRequests >= maxPermitRequests
@@ -125,7 +125,7 @@
 		return nil
 	}
 	c.permitRequests++
-	wait := c.maxPermitWait(now)
+	wait := c.maxHold(now)
 	if !c.lastResort && choice.Candidates > 1 {
 		wait = min(wait, expected+permitTolerance)
 	}
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -180,6 +180,7 @@
 			Strs("gone", gone).Msg("")
 	}
 	g.mergeLimits(now, term != reply.GetTerm(), sent, reply)
+	g.applyNotices(now)
 	g.budgets.SetInstances(now, int(reply.GetEntries()))
 	g.applyCached(reply)
 	if n := g.suspects.apply(now, reply.GetSuspects()); n > 0 {
--- a/entry/gate/send.go
+++ b/entry/gate/send.go
@@ -6,7 +6,7 @@
 )
 
 var (
-	errWithdrawn  = errors.New("the target is leaving, or the table that lists it is too old")
+	errWithdrawn  = errors.New("the target is leaving or paused, or the table that lists it is too old")
 	errOverBudget = errors.New("the retry budget allows no resend")
 )
 
@@ -19,7 +19,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.fleet.targets[c.dest.ID]
-	withdrawn := t == nil || !t.Ready || !t.StartedAt.Equal(c.dest.startedAt) ||
+	withdrawn := t == nil || !t.Ready || t.Paused(time.Now()) || !t.StartedAt.Equal(c.dest.startedAt) ||
 		!g.acceptsWork(g.tableContact.Now(), t)
 	if withdrawn || t.Limit > 0 && !c.permitted {
 		return errWithdrawn
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -237,7 +237,7 @@
 	c.gateway.mu.Lock()
 	suspicious := len(c.unclearedParts()) > 0
 	c.gateway.mu.Unlock()
-	return suspicious && c.gateway.checkHealth(c.dest.Target, c.service) != nil
+	return suspicious && c.gateway.checkHealth(c.dest, c.service) != nil
 }
 
 // recordLost reports the request as lost if err looks like a crash of the target process.
