Send a request again on another connection than the one that refused it

Operators of similar systems saw clients told 'not run' for requests that had run, after a faulty target had written an earlier refusal once more on a kept connection. It can happen here: the echoed id names the request, not the attempt, so the repeated refusal was taken for the answer to the second send of the same request, which ran (REFUSED), and was sent a third time (TWICE).

A connection now remembers which requests were answered with a failure on it and carries none of them again; other requests still use it. Health checks have no id, so a late copy of the answer to one could pass for that to the next: each gets a connection of its own.

--- a/lib/relay/exchange.go
+++ b/lib/relay/exchange.go
@@ -35,7 +35,8 @@
 	// HasBody reports whether the client sent a body, even an empty one.
 	HasBody bool
 	// IDHeader is the name of the header that identifies a request, and ID its value.
-	// Targets echo the header in their responses.
+	// Targets echo the header in their responses. A request without an id gets a
+	// connection of its own.
 	IDHeader, ID string
 	// BeforeSend, if set, is called once there is a connection, right before the request is
 	// written. Its error cancels the exchange: nothing is sent.
@@ -78,7 +79,7 @@
 // maximum number of connections to the target; 0 means no limit. Errors are of type
 // *Error.
 func (p *Pool) Do(ctx context.Context, t Target, limit int, r *Request) (*Response, error) {
-	c, err := p.get(ctx, t, limit)
+	c, err := p.get(ctx, t, limit, r.ID)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -114,8 +115,9 @@
 		return fail(true, err)
 	}
 	p.recordActivity(t)
+	c.recordAnswer(r.ID, res.StatusCode)
 	b := &body{pool: p, conn: c, stop: stop, watchdog: w, res: res, ctx: ctx}
-	b.reusable = !res.Close && (res.ContentLength >= 0 || chunked(res))
+	b.reusable = r.ID != "" && !res.Close && (res.ContentLength >= 0 || chunked(res))
 	c.idleTimeout = idleTimeout(res.Header)
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength,
--- a/lib/relay/pool.go
+++ b/lib/relay/pool.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -83,6 +85,29 @@
 	idleTimeout time.Duration
 	// reused reports whether the connection has carried an earlier exchange.
 	reused bool
+	// failed holds the ids of the requests that were answered with a failure. A target may
+	// send such an answer again, which would be taken for that of another attempt with the same
+	// request: the id tells requests apart, but not their attempts.
+	failed map[string]bool
+}
+
+// maxFailed is the number of failures after which a connection is closed.
+const maxFailed = 64
+
+// mayCarry reports whether the connection may carry the request with the given id: an answer to
+// an earlier attempt must not be mistaken for that to the next one. Requests without an id can't
+// be told apart at all.
+func (c *conn) mayCarry(id string) bool { return id != "" && !c.failed[id] }
+
+// recordAnswer records the status with which the request with the given id was answered.
+func (c *conn) recordAnswer(id string, status int) {
+	if status < http.StatusBadRequest {
+		return
+	}
+	if c.failed == nil {
+		c.failed = make(map[string]bool)
+	}
+	c.failed[id] = true
 }
 
 // PoolOption configures a Pool.
@@ -119,26 +144,22 @@
 	return d.DialContext(ctx, "tcp", addr.String())
 }
 
-// get returns an idle connection or dials a new one. limit is the maximum number of
-// connections from this process to the target; 0 means no limit.
-func (p *Pool) get(ctx context.Context, t Target, limit int) (*conn, error) {
+// get returns an idle connection that may carry the request with the given id, or dials a new
+// one. limit is the maximum number of connections from this process to the target; 0 means no
+// limit.
+func (p *Pool) get(ctx context.Context, t Target, limit int, id string) (*conn, error) {
 	p.mu.Lock()
 	h := p.conns[t]
 	if h == nil {
 		h = &targetConns{}
 		p.conns[t] = h
 	}
-	now := time.Now()
-	for n := len(h.idle); n > 0; n = len(h.idle) {
-		c := h.idle[n-1]
-		h.idle = h.idle[:n-1]
-		if now.Before(c.reuseUntil) && c.alive() {
-			p.mu.Unlock()
-			c.reused = true
-			return c, nil
-		}
-		h.open--
-		_ = c.Close()
+	if c := h.takeIdle(time.Now(), id); c != nil {
+		p.mu.Unlock()
+		return c, nil
+	}
+	if limit > 0 && h.open >= limit && len(h.idle) > 0 {
+		h.closeOldest()
 	}
 	if limit > 0 && h.open >= limit {
 		p.mu.Unlock()
@@ -156,6 +177,34 @@
 	return &conn{Conn: nc, r: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded, target: t, idleTimeout: defaultIdleTimeout}, nil
 }
 
+// takeIdle returns the idle connection that was used last among those that may carry the request
+// with the given id; nil if there is none. It closes those that must not be reused any more.
+func (h *targetConns) takeIdle(now time.Time, id string) *conn {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		usable := now.Before(c.reuseUntil) && c.alive()
+		if usable && !c.mayCarry(id) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
+		if usable {
+			c.reused = true
+			return c
+		}
+		h.open--
+		_ = c.Close()
+	}
+	return nil
+}
+
+// closeOldest closes the idle connection that was used first.
+func (h *targetConns) closeOldest() {
+	c := h.idle[0]
+	h.idle = slices.Delete(h.idle, 0, 1)
+	h.open--
+	_ = c.Close()
+}
+
 // release subtracts a connection that was closed, or that could not be opened, from the
 // count of the target.
 func (p *Pool) release(t Target) {
@@ -174,7 +223,7 @@
 	c.reuseUntil = time.Now().Add(c.idleTimeout)
 	p.mu.Lock()
 	h := p.conns[c.target]
-	if p.closed || h == nil || c.r.Buffered() > 0 || c.idleTimeout <= 0 {
+	if p.closed || h == nil || c.r.Buffered() > 0 || c.idleTimeout <= 0 || len(c.failed) > maxFailed {
 		p.mu.Unlock()
 		p.discard(c)
 		return
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -139,6 +139,79 @@
 	}
 }
 
+// refusal is the answer of a target that did not run a request.
+func refusal(id string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", idHeader, id)
+}
+
+// Guards against taking a refusal that a target writes once more for the answer to the second
+// send of the same request, which the target runs (REFUSED, TWICE): the id is that of the
+// request, and the connection was kept. Other requests in between don't change that.
+func TestRepeatedRefusalIsNotTheNextAnswer(t *testing.T) {
+	for _, between := range []string{"", "y"} {
+		t.Run("between: "+between, func(t *testing.T) {
+			p := NewPool()
+			defer func() { _ = p.Close() }()
+			var s *testServer
+			s = newTestServer(t, func(n int, id string) string {
+				_, conns := s.count()
+				switch {
+				case n == 1:
+					return refusal(id)
+				case conns == 1 && id == "x":
+					return refusal("x") + response(id, "run")
+				}
+				return response(id, "run")
+			})
+			_, err := exchange(t, p, s, "x")
+			assert.NilError(t, err)
+			if between != "" {
+				body, err := exchange(t, p, s, between)
+				assert.NilError(t, err)
+				assert.Equal(t, body, "run")
+			}
+			body, err := exchange(t, p, s, "x")
+			assert.NilError(t, err)
+			assert.Equal(t, body, "run")
+			_, conns := s.count()
+			assert.Equal(t, conns, 2)
+			_, err = exchange(t, p, s, "z")
+			assert.NilError(t, err)
+			_, conns = s.count()
+			assert.Equal(t, conns, 2, "connections are kept for other requests")
+		})
+	}
+}
+
+// Guards against taking the late second answer to one health check, which has no id, for that of
+// the next one: it would say that a target that leaves is healthy.
+func TestRequestWithoutIDGetsANewConnection(t *testing.T) {
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	s := newTestServer(t, func(int, string) string { return response("", "ok") })
+	for range 3 {
+		_, err := exchange(t, p, s, "")
+		assert.NilError(t, err)
+	}
+	_, conns := s.count()
+	assert.Equal(t, conns, 3)
+}
+
+// Guards against a request that finds no connection because all idle ones have carried it.
+func TestConnLimitWithIdleConnectionsOfTheSameRequest(t *testing.T) {
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	s := newTestServer(t, func(_ int, id string) string { return refusal(id) })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	for range 3 {
+		a, err := p.Do(ctx, Target{ID: "t", Addr: s.addr}, 1, newRequest("x"))
+		assert.NilError(t, err)
+		_, _ = io.ReadAll(a.Body)
+		assert.NilError(t, a.Body.Close())
+	}
+}
+
 // Guards against reusing a connection with unread bytes that belong to no request.
 func TestExtraBytesEndTheConnection(t *testing.T) {
 	s := newTestServer(t, func(_ int, id string) string { return response(id, "own") + "garbage" })
