Let an odd announcement cost nothing but itself

Operators of similar systems saw machines end or stop following the list of targets after another writer had left one odd entry. It can happen here: the id of an announcement comes from its path and may not be UTF-8. The message that carries the table to entry instances could then not be encoded, for none of them, and none learned of a target that announced itself later. Also accepted were port 0, negative and huge numbers of slots, names of up to a megabyte, which all entry instances and the roster got, models without a name, and a sequence number or start time so large that all later announcements of the target counted as late or superseded.

A sequence number that is far behind the latest one no longer counts as late.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -136,7 +136,7 @@
 		if old.left {
 			return Left, false
 		}
-		if a.Sequence <= old.Sequence {
+		if old.isLate(a.Sequence) {
 			return Late, false
 		}
 		if old.removed {
