Answer the connections that clients have established when an instance stops

Operators of similar systems saw requests cut off that had just been accepted when a process was stopped under load. It can happen here: the listening socket was closed at once, which resets the connections in the kernel's queue, and a connection between Accept and its server was closed.

A stopping Listener now accepts for 50 ms what is established already, and shuts the servers down only when all of it has been handed over. TestStopAnswersEstablishedConnections failed before.

--- a/entry/gate/listen.go
+++ b/entry/gate/listen.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,6 +20,9 @@
 	// timeoutSlack is added to both timeouts: after this process was suspended, a request
 	// that arrived in time must not be treated as late.
 	timeoutSlack = time.Second
+	// acceptRest is how long a stopping Listener accepts the connections that the kernel has
+	// already established.
+	acceptRest = 50 * time.Millisecond
 	// acceptRetryDelay is the delay after a temporary error from Accept.
 	acceptRetryDelay = 5 * time.Millisecond
 	// maxHeaderBytes is the size limit that net/http enforces while it reads a request
@@ -52,6 +56,9 @@
 	gateway *Gateway
 	ln      net.Listener
 	wg      sync.WaitGroup
+	// accepted is closed when Serve accepts no more connections and has handed over all that it
+	// accepted.
+	accepted chan struct{}
 
 	mu sync.Mutex
 	// servers ends with the server for new connections. The servers before it have
@@ -105,14 +112,19 @@
 }
 
 // Listen returns a Listener that accepts connections from ln and serves them with g.
-func (g *Gateway) Listen(ln net.Listener) *Listener { return &Listener{gateway: g, ln: ln} }
+// The caller must call Serve once.
+func (g *Gateway) Listen(ln net.Listener) *Listener {
+	return &Listener{gateway: g, ln: ln, accepted: make(chan struct{})}
+}
 
 // Serve accepts connections until the Listener is closed or Accept fails permanently.
 func (l *Listener) Serve() error {
 	defer l.wg.Wait()
+	defer close(l.accepted)
 	for {
 		conn, err := l.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = l.ln.Close()
 			return http.ErrServerClosed
 		}
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
@@ -166,20 +178,25 @@
 	return x
 }
 
-// stopAccepting stops accepting connections and returns the servers.
-func (l *Listener) stopAccepting() []*timeoutServer {
+// stopAccepting makes Serve stop. Connections that clients have established already are still
+// accepted: their requests may be on the way.
+func (l *Listener) stopAccepting() {
+	if d, ok := l.ln.(interface{ SetDeadline(t time.Time) error }); ok && d.SetDeadline(time.Now().Add(acceptRest)) == nil {
+		return
+	}
 	_ = l.ln.Close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.closed = true
-	return l.servers
 }
 
 // Shutdown stops accepting connections and waits until all requests in progress are
 // completed or ctx is done.
 func (l *Listener) Shutdown(ctx context.Context) error {
+	l.stopAccepting()
+	select {
+	case <-l.accepted:
+	case <-ctx.Done():
+	}
 	var errs []error
-	for _, x := range l.stopAccepting() {
+	for _, x := range l.close() {
 		errs = append(errs, x.srv.Shutdown(ctx))
 	}
 	return errors.Join(errs...)
@@ -187,9 +204,18 @@
 
 // Close stops accepting connections and closes all existing ones.
 func (l *Listener) Close() error {
-	for _, x := range l.stopAccepting() {
+	_ = l.ln.Close()
+	for _, x := range l.close() {
 		_ = x.srv.Close()
 		_ = x.listener.Close()
 	}
 	return nil
 }
+
+// close marks the Listener as closed and returns the servers.
+func (l *Listener) close() []*timeoutServer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	return l.servers
+}
--- a/entry/gate/listen_test.go
+++ b/entry/gate/listen_test.go
@@ -80,3 +80,43 @@
 	assert.ErrorIs(t, <-served, http.ErrServerClosed)
 	assert.NilError(t, l.Close())
 }
+
+// busyListener accepts a connection only after a while, as in a process that has much to do.
+type busyListener struct{ *net.TCPListener }
+
+// Accept implements net.Listener.
+func (l busyListener) Accept() (net.Conn, error) {
+	time.Sleep(acceptRest / 40)
+	return l.TCPListener.Accept()
+}
+
+// Guards against a planned stop that cuts off connections which clients have just established
+// and sent a request on: they were closed in the kernel's queue, or between Accept and the
+// server.
+func TestStopAnswersEstablishedConnections(t *testing.T) {
+	fx := newFixture(t, "plain", respondSealed(http.StatusOK, "yes"))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := fx.gateway.Listen(busyListener{ln.(*net.TCPListener)})
+	served := make(chan error, 1)
+	go func() { served <- l.Serve() }()
+	var conns []net.Conn
+	for range 20 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = io.WriteString(c, "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nT-Id: 1\r\n\r\n")
+		assert.NilError(t, err)
+		conns = append(conns, c)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), conditionTimeout)
+	defer cancel()
+	assert.NilError(t, l.Shutdown(ctx))
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+	for i, c := range conns {
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err, "connection %d", i)
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+		assert.NilError(t, res.Body.Close())
+	}
+}
