Let one request at a time try a part of prompts that targets were lost with

Cause: from the second loss on a part was known as a suspect, but requests with it were still sent, from all entry instances, until the third loss. Requests that had been sent before waited at other targets and ended these one after the other.

From the second loss on, requests with the part need a trial that control allows: one at a time, and the next one only 5 s after the latest loss, when the lost process or another copy serves again. Attempts that wait without output when the part becomes a suspect are cancelled. Parts that an answer has cleared, and single losses, change nothing, so ordinary crashes cost nothing.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -457,6 +457,11 @@
 	assert.Equal(t, len(report().GetTargets()), 0)
 }
 
+func partBytes(n uint64) []byte {
+	fp := poison.PartFingerprint("s", n)
+	return fp[:]
+}
+
 // Guards against data races between calls and the planner, which can crash the process.
 func TestConcurrentCallsAndTicks(t *testing.T) {
 	e := newFakeEngine()
@@ -487,7 +492,11 @@
 				Loads:  []*wire.TargetLoad{{Target: "t1", Running: uint32(n % 5), MemoryTokens: n % 3, Adapters: []string{"m0/a1"}}},
 				Demand: []*wire.ModelDemand{{Model: fmt.Sprint("m", n%3), WorkMicrosPerSecond: 1e6, Waiting: 1}},
 				Cached: []*wire.CachedPrompt{{Target: "t1", Key: n, Tokens: 9}},
-				Lost:   []*wire.LostRequest{{Fingerprint: make([]byte, poison.FingerprintSize), Target: fmt.Sprint("t", n%4), BornMillis: 1}},
+				Lost: []*wire.LostRequest{{
+					Fingerprint: make([]byte, poison.FingerprintSize), Target: fmt.Sprint("t", n%4), BornMillis: 1,
+					Parts: [][]byte{partBytes(n % 5), partBytes(n % 3)},
+				}},
+				Wanted: [][]byte{partBytes(n % 5)}, Completed: [][]byte{partBytes(n % 7)},
 			})
 			marshal(reply, err)
 		})
@@ -498,6 +507,11 @@
 	}
 	loop(func(n uint64) { announce(t, f, e, n) })
 	loop(func(uint64) { f.tick(time.Now()) })
+	loop(func(uint64) { assert.Check(t, f.saveParts(ctx) == nil || ctx.Err() != nil) })
+	loop(func(n uint64) {
+		f.clearPart(poison.Fingerprint(partBytes(n % 5)))
+		marshal(&wire.FleetReply{Suspects: f.lostSuspects(time.Now())}, nil)
+	})
 	wg.Wait()
 }
 
--- a/control/lost.go
+++ b/control/lost.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bulrushpath.example/lib/link"
 	"bulrushpath.example/lib/poison"
 	"bulrushpath.example/lib/wire"
@@ -38,7 +41,31 @@
 			f.lostParts.RecordCompletion(poison.Fingerprint(fp))
 		}
 	}
-	return append(f.lostRequests.Suspects(now), f.lostParts.Suspects(now)...)
+	return append(f.lostRequests.Suspects(now), f.startTrials(now, req, f.lostParts.Suspects(now))...)
+}
+
+// startTrials begins the trials of suspect parts that the entry instance wants and that are
+// possible now. It returns the suspects with these trials. The caller holds mu.
+func (f *Fleet) startTrials(now time.Time, req *wire.FleetRequest, suspects []*wire.Suspect) []*wire.Suspect {
+	if len(req.GetWanted()) == 0 {
+		return suspects
+	}
+	wanted := make(map[poison.Fingerprint]bool)
+	for _, fp := range fingerprints(req.GetWanted()) {
+		wanted[fp] = true
+	}
+	out := slices.Clone(suspects)
+	for i, s := range out {
+		fp := poison.Fingerprint(s.GetFingerprint())
+		if !wanted[fp] || !f.lostParts.StartTrial(now, fp) {
+			continue
+		}
+		// Replies share the other records.
+		out[i] = proto.CloneOf(s)
+		out[i].Trial = true
+		f.log.Info().Str("event", "trialStarted").Str("entry", req.GetName()).Hex("part", fp[:]).Msg("")
+	}
+	return out
 }
 
 // fingerprints returns the valid ones of the given fingerprints.
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -63,6 +63,9 @@
 	c.gateway.mu.Unlock()
 	sends, fetches := 0, 0
 	for {
+		if f := c.awaitTrial(ctx); f != nil {
+			return f
+		}
 		choice, f := c.awaitTarget(ctx)
 		if f != nil {
 			return f
@@ -161,7 +164,7 @@
 func (c *call) send(ctx context.Context, choice steer.Choice) (res result, err error) {
 	t := choice.Target
 	c.hasOutput = false
-	defer func() { c.recordResult(choice, c.hasOutput, res, errors.Is(err, relay.ErrSilent)) }()
+	defer func() { c.recordResult(choice, c.hasOutput, res, err) }()
 	if choice.NeedsAdapter {
 		if err := c.gateway.fetchAdapter(ctx, t.ID, c.prompt.Model, c.prompt.Adapter); err != nil {
 			return c.resultOrCancelled(ctx, noAdapter), err
@@ -173,13 +176,17 @@
 	c.recordAdapterUse(t)
 	c.setSendHeaders()
 	sentAt := time.Now()
-	answer, err := c.gateway.targetConns.Do(ctx, c.dest.Target, connLimit(c.service), c.outbound)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	c.watchParts(cancel)
+	defer c.unwatchParts()
+	answer, err := c.gateway.targetConns.Do(attemptCtx, c.dest.Target, connLimit(c.service), c.outbound)
 	if err != nil {
 		res := sendFailure(err)
 		if res == incomplete {
 			c.attempts++
 		}
-		return c.resultOrCancelled(ctx, res), err
+		return c.resultOrCancelled(ctx, res), cancelCause(attemptCtx, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	c.gateway.observeNotices(c.dest, answer)
@@ -189,7 +196,7 @@
 	}
 	c.attempts++
 	if err := c.forward(choice, answer, sentAt); err != nil {
-		return c.resultOrCancelled(ctx, incomplete), err
+		return c.resultOrCancelled(ctx, incomplete), cancelCause(attemptCtx, err)
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		c.gateway.mu.Lock()
@@ -223,6 +230,7 @@
 		c.hasOutput = true
 		c.gateway.mu.Lock()
 		defer c.gateway.mu.Unlock()
+		delete(c.gateway.suspects.running, c)
 		c.clearParts()
 		now := time.Now()
 		choice.Target.AddFirstOutput(now, now.Sub(sentAt), choice.Base, choice.PrefillTokens)
@@ -255,7 +263,7 @@
 }
 
 // recordResult updates the load and failure statistics of the target after a send.
-func (c *call) recordResult(choice steer.Choice, hasOutput bool, res result, silent bool) {
+func (c *call) recordResult(choice steer.Choice, hasOutput bool, res result, err error) {
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
 	t := choice.Target
@@ -264,7 +272,9 @@
 	case unreached:
 		t.AddFailure(time.Now(), true)
 	case incomplete:
-		t.AddFailure(time.Now(), silent || !hasOutput)
+		if !errors.Is(err, errSuspectPart) {
+			t.AddFailure(time.Now(), errors.Is(err, relay.ErrSilent) || !hasOutput)
+		}
 	case answered, notRun, noAdapter, withdrawn, noPermit, overBudget, clientLeft, expired:
 	}
 }
--- a/entry/gate/fixture_test.go
+++ b/entry/gate/fixture_test.go
@@ -14,6 +14,7 @@
 
 	tally "github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"storj.io/drpc/drpcmux"
 
@@ -56,6 +57,14 @@
 	limits map[string]*wire.TargetLimit
 	// beforeFetch, if set, runs before an adapter is fetched.
 	beforeFetch func()
+	// trials is the number of trials of suspect parts that are allowed.
+	trials int
+}
+
+func (c *fakeControl) trialsLeft() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.trials
 }
 
 func (c *fakeControl) setReply(before func() error) {
@@ -126,6 +135,13 @@
 		c.limits[l.GetTarget()] = l
 	}
 	r.Suspects = append(c.count.Suspects(time.Now()), c.parts.Suspects(time.Now())...)
+	if len(req.GetWanted()) > 0 && c.trials > 0 {
+		c.trials--
+		for i, s := range r.GetSuspects() {
+			r.Suspects[i] = proto.CloneOf(s)
+			r.Suspects[i].Trial = true
+		}
+	}
 	if req.GetDocumentVersion() < c.version {
 		r.Document = &wire.Document{Version: c.version, Content: []byte("x")}
 	}
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -63,6 +63,8 @@
 	// resumesAt is the earliest end of the pause of a target that could take the request; zero
 	// if none is paused.
 	resumesAt time.Time
+	// onTrial is true once the request has used the trials of its suspect parts.
+	onTrial bool
 	// arrivals counts the sends of which a target may have received a part.
 	arrivals int
 	// attempts counts the sends after which a target may have run the request.
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -120,6 +120,7 @@
 	g.cached = nil
 	req.Lost, req.Completed = g.suspects.lost, g.suspects.completed
 	g.suspects.lost, g.suspects.completed = nil, nil
+	req.Wanted = g.suspects.takeWanted()
 	limits := g.limits.Unreported()
 	for _, l := range limits {
 		req.Limits = append(req.Limits, l.ToWire(now))
@@ -185,7 +186,7 @@
 	g.applyCached(reply)
 	if n := g.suspects.apply(now, reply.GetSuspects()); n > 0 {
 		g.log.Warn().Str("event", "suspectsChanged").Uint64("term", reply.GetTerm()).Int("news", n).
-			Int("suspects", len(g.suspects.verdicts)).Msg("")
+			Int("suspects", len(g.suspects.verdicts)).Int("cancelled", g.suspects.cancelRunning()).Msg("")
 	}
 	g.controlMembers = g.controlMembers[:0]
 	for _, text := range reply.GetControl() {
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -37,6 +38,11 @@
 	completed [][]byte
 	// cleared holds the parts of prompts that certainly do not crash targets.
 	cleared poison.ClearedParts
+	// wanted holds the suspect parts with which a request waits for a trial.
+	wanted map[poison.Fingerprint]bool
+	// running holds the requests in progress of which a part is not cleared and that have no
+	// output yet, with the functions that cancel their current attempts.
+	running map[*call]context.CancelCauseFunc
 }
 
 // verdict is the verdict of control on a request or on a part of prompts.
@@ -46,6 +52,9 @@
 	// group and groupSize are set for a blocked part; see poison.PartCounter.
 	group     uint64
 	groupSize uint32
+	// trial is true for a suspect part until this instance sends the one request with it that
+	// control allows.
+	trial bool
 }
 
 // apply stores the verdicts from a reply and returns how many are new or changed.
@@ -94,14 +103,18 @@
 		s.parts = make(map[poison.Fingerprint]verdict)
 	}
 	s.parts[fp] = v
-	if old, ok := before[fp]; ok && old.blocked == v.blocked {
+	old, ok := before[fp]
+	if v.trial {
+		delete(s.wanted, fp)
+	}
+	if ok && old.blocked == v.blocked {
 		return 0
 	}
 	return 1
 }
 
 func newVerdict(x *wire.Suspect) verdict {
-	v := verdict{blocked: x.GetVerdict() == wire.Verdict_VERDICT_BLOCKED, until: time.UnixMilli(x.GetUntilUnixMillis())}
+	v := verdict{blocked: x.GetVerdict() == wire.Verdict_VERDICT_BLOCKED, until: time.UnixMilli(x.GetUntilUnixMillis()), trial: x.GetTrial()}
 	if g := x.GetGroup(); len(g) == groupBytes {
 		v.group, v.groupSize = binary.BigEndian.Uint64(g), x.GetGroupSize()
 	}
--- a/lib/poison/parts.go
+++ b/lib/poison/parts.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -64,6 +65,32 @@
 	stale    bool
 	// unsaved is set if Save would return another state than the last time.
 	unsaved bool
+	// trialEnds holds the ends of the trials of suspect parts that may be in progress.
+	trialEnds map[Fingerprint]time.Time
+}
+
+const (
+	// trialTime is how long a trial of a suspect part may take: one request with the part is
+	// sent, and either its target begins to answer or another process is lost.
+	trialTime = 2 * time.Second
+	// trialPause is the time from the latest loss to the next trial. By then the lost process, or
+	// another copy of its model, serves again, so that a part takes one process at a time.
+	trialPause = 5 * time.Second
+)
+
+// StartTrial reports whether one request with the suspect part may be sent now, and begins the
+// trial if so.
+func (c *PartCounter) StartTrial(now time.Time, fp Fingerprint) bool {
+	x := c.losses.byFingerprint[fp]
+	if x == nil || len(x.processes) >= blockThreshold || now.Sub(x.lastLoss) < trialPause || now.Before(c.trialEnds[fp]) {
+		return false
+	}
+	if c.trialEnds == nil {
+		c.trialEnds = make(map[Fingerprint]time.Time)
+	}
+	maps.DeleteFunc(c.trialEnds, func(_ Fingerprint, end time.Time) bool { return now.After(end) })
+	c.trialEnds[fp] = now.Add(trialTime)
+	return true
 }
 
 // maxSavedParts and maxSavedProcesses bound the state that Save returns. A part needs no more
--- a/lib/poison/parts_test.go
+++ b/lib/poison/parts_test.go
@@ -298,3 +298,81 @@
 	expired := now.Add(lossRetention + 10*time.Second)
 	assert.Equal(t, len(c.Suspects(expired)), 0)
 }
+
+// Guards against a deadly part that takes all copies of a busy model at once, since its requests
+// come faster than processes return: after the second loss one request with the part runs at a
+// time, and the next one only when the lost process may be back. The pattern: ten requests a
+// second with the part, each of which ends its target 0.3 s later, a process that is back after
+// 3 s, three copies of the model.
+func TestDeadlyPartTakesOneProcessAtATime(t *testing.T) {
+	const (
+		step     = 100 * time.Millisecond
+		crash    = 300 * time.Millisecond
+		downTime = 3 * time.Second
+		copies   = 3
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		var c PartCounter
+		fp := part(1)
+		now := time.UnixMilli(0)
+		up := make([]time.Time, copies)
+		ends := make(map[int]time.Time)
+		losses := 0
+		blocked := false
+		for range 300 {
+			now = now.Add(step)
+			for i, end := range ends {
+				if now.Before(end) {
+					continue
+				}
+				delete(ends, i)
+				losses++
+				up[i] = now.Add(downTime)
+				c.RecordLoss(now, []Fingerprint{fp}, Process{Target: fmt.Sprint("t", i), BornMillis: now.UnixMilli()})
+			}
+			suspect := false
+			for _, s := range c.Suspects(now) {
+				suspect = true
+				blocked = s.GetVerdict() == wire.Verdict_VERDICT_BLOCKED
+			}
+			var live []int
+			for i, at := range up {
+				if _, busy := ends[i]; !now.Before(at) && !busy {
+					live = append(live, i)
+				}
+			}
+			if losses >= suspectThreshold && len(live) < copies-2 {
+				t.Fatalf("%d copies are left after %d losses", len(live), losses)
+			}
+			if blocked || len(live) == 0 || rapid.IntRange(0, 9).Draw(t, "request") == 0 {
+				continue
+			}
+			// The first two losses come one after the other.
+			if !suspect && len(ends) > 0 || suspect && !c.StartTrial(now, fp) {
+				continue
+			}
+			ends[live[rapid.IntRange(0, len(live)-1).Draw(t, "target")]] = now.Add(crash)
+		}
+		if !blocked || losses != blockThreshold {
+			t.Fatalf("blocked: %v, after %d losses", blocked, losses)
+		}
+	})
+}
+
+// Guards against two trials of one part at a time, a trial right after a loss, and a part that
+// nobody may try again because its trial was not used.
+func TestTrials(t *testing.T) {
+	var c PartCounter
+	now := time.UnixMilli(0)
+	fp := part(1)
+	assert.Assert(t, !c.StartTrial(now, fp), "no suspect")
+	for i := range suspectThreshold {
+		c.RecordLoss(now, []Fingerprint{fp}, Process{Target: fmt.Sprint("t", i)})
+	}
+	assert.Assert(t, !c.StartTrial(now.Add(trialPause-1), fp))
+	assert.Assert(t, c.StartTrial(now.Add(trialPause), fp))
+	assert.Assert(t, !c.StartTrial(now.Add(trialPause+trialTime-1), fp))
+	assert.Assert(t, c.StartTrial(now.Add(trialPause+trialTime), fp))
+	c.RecordLoss(now, []Fingerprint{fp}, Process{Target: "last"})
+	assert.Assert(t, !c.StartTrial(now.Add(time.Minute), fp), "blocked")
+}
--- a/lib/steer/cost.go
+++ b/lib/steer/cost.go
@@ -58,7 +58,7 @@
 	} else {
 		base, cost = t.engineEstimate(now, s, r, keys, src, &c)
 	}
-	errorRate, slowdown := t.health(now)
+	errorRate, slowdown := t.Health(now)
 	wait := base * max(slowdown, t.gaps.slowdown(now))
 	if t.Slots > 0 && running >= t.Slots {
 		wait += float64(saturationPenalty) * float64(running-t.Slots+1) / float64(t.Slots)
--- a/lib/steer/target.go
+++ b/lib/steer/target.go
@@ -108,8 +108,8 @@
 	return m != nil && m.ReadyAt.IsZero() && !m.Leaving
 }
 
-// health returns the decayed error rate and slowdown.
-func (t *Target) health(now time.Time) (errorRate, slowdown float64) {
+// Health returns the decayed error rate and slowdown.
+func (t *Target) Health(now time.Time) (errorRate, slowdown float64) {
 	age := now.Sub(t.healthAt)
 	return t.errorRate * decay(age, errorHalfLife), 1 + (max(t.slowdown, 1)-1)*decay(age, slowdownHalfLife)
 }
@@ -117,7 +117,7 @@
 // addOutcome adds an outcome to the averages; slowdown is the measured one, 0 if unknown.
 func (t *Target) addOutcome(now time.Time, failed bool, slowdown float64) {
 	const weight = 0.3
-	f, s := t.health(now)
+	f, s := t.Health(now)
 	x := 0.0
 	if failed {
 		x = 1
