Keep the total load of a target as long as an entry instance has a part in it

Cause: a total of zero was dropped although an entry instance had a part of zero in it, as it has after it used an adapter of a target where none of its requests runs. Its next report subtracted that part from a total that was not there. A part with prompt tokens alone was lost the same way.

A total now counts the instances that have a part in it. TestLoadTotalsWithPartsOfZero failed before (the total was gone).

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -143,7 +143,7 @@
 	f.prompts = promptLog{}
 	f.lostRequests, f.lostParts, f.doubtful = poison.LossCounter{}, poison.PartCounter{}, nil
 	f.limiter = quota.Limiter{}
-	f.loads = loadTotals{sums: make(map[string]*wire.TargetLoad)}
+	f.loads = loadTotals{sums: make(map[string]*loadSum)}
 	f.table = fleet.NewTable(now, term, f.modelRecords)
 }
 
--- a/control/load.go
+++ b/control/load.go
@@ -13,21 +13,30 @@
 
 // loadTotals holds the load of each target, summed over all entry instances.
 type loadTotals struct {
-	sums map[string]*wire.TargetLoad
+	sums map[string]*loadSum
 	// busiest holds the targets with the most running requests as of the last call of
 	// rank. With at most maxLoadsPerReply targets, each call of others ranks them again.
 	busiest []*wire.TargetLoad
 }
 
+// loadSum is the total load of one target.
+type loadSum struct {
+	wire.TargetLoad
+	// parts is the number of entry instances whose loads are in the sum, also those of zero,
+	// as for a target of which only an adapter was used.
+	parts int
+}
+
 // replace adds the loads of a new report of an entry instance and subtracts those of
 // its previous one.
 func (t *loadTotals) replace(before, after []*wire.TargetLoad) {
 	for _, l := range after {
 		sum := t.sums[l.GetTarget()]
 		if sum == nil {
-			sum = &wire.TargetLoad{Target: l.GetTarget()}
+			sum = &loadSum{TargetLoad: wire.TargetLoad{Target: l.GetTarget()}}
 			t.sums[l.GetTarget()] = sum
 		}
+		sum.parts++
 		sum.Running += l.GetRunning()
 		sum.PromptTokens += l.GetPromptTokens()
 		sum.MemoryTokens += l.GetMemoryTokens()
@@ -35,8 +44,8 @@
 	}
 	for _, l := range before {
 		sum := t.sums[l.GetTarget()]
-		subtract(sum, l)
-		if sum.GetRunning() == 0 && sum.GetPromptRate() == 0 && sum.GetMemoryTokens() == 0 {
+		subtract(&sum.TargetLoad, l)
+		if sum.parts--; sum.parts == 0 {
 			delete(t.sums, l.GetTarget())
 		}
 	}
@@ -52,8 +61,8 @@
 // rank updates busiest.
 func (t *loadTotals) rank() {
 	list := make([]*wire.TargetLoad, 0, len(t.sums))
-	for _, l := range t.sums {
-		list = append(list, l)
+	for _, sum := range t.sums {
+		list = append(list, &sum.TargetLoad)
 	}
 	slices.SortFunc(list, func(a, b *wire.TargetLoad) int {
 		if a.GetRunning() != b.GetRunning() {
--- a/control/report_test.go
+++ b/control/report_test.go
@@ -41,6 +41,28 @@
 	assert.Equal(t, len(report("e3", 4).GetLoads()), 0)
 }
 
+// Guards against a leader that ends by itself, or has wrong totals, because a total of zero was
+// dropped while an entry instance still had a part in it: one that has no request at a target,
+// but has just used an adapter there.
+func TestLoadTotalsWithPartsOfZero(t *testing.T) {
+	f := startFleet(t, newFakeEngine())
+	report := func(name string, loads ...*wire.TargetLoad) {
+		_, err := f.Report(t.Context(), &wire.FleetRequest{Protocol: link.Protocol, Name: name, DocumentVersion: 3, Loads: loads})
+		assert.NilError(t, err)
+	}
+	report("e1", &wire.TargetLoad{Target: "t1", Adapters: []string{"m/a1"}, PromptTokens: 7})
+	report("e2", &wire.TargetLoad{Target: "t1", Running: 2})
+	report("e2")
+	assert.Equal(t, f.loads.sums["t1"].GetPromptTokens(), uint64(7))
+	report("e1")
+	assert.Equal(t, len(f.loads.sums), 0)
+	// Another writer may name a target twice.
+	twice := &wire.TargetLoad{Target: "t1", Running: 1}
+	report("e1", twice, twice)
+	report("e1")
+	assert.Equal(t, len(f.loads.sums), 0)
+}
+
 // Guards against an unlimited rate of reports in the largest intended deployment, and
 // against changes that take longer than a second to reach an instance.
 func TestReportPeriod(t *testing.T) {
