--- a/lib/scale/scale_test.go
+++ b/lib/scale/scale_test.go
@@ -313,7 +313,7 @@
 	w.setResident(1, "m01", "m02", "m03")
 	w.run(5 * time.Second)
 	busy := w.engines[2].target
-	startOrder(Input{Now: w.now}, busy, Order{Op: Load, Model: "m03"}, 6*time.Second)
+	startOrder(w.now, busy, Order{Op: Load, Model: "m03"}, 6*time.Second)
 	w.demand["m00"] = Demand{Work: 1.5}
 	w.demand["m01"], w.demand["m02"] = Demand{Work: 0.4}, Demand{Work: 0.4}
 	w.step()
