Use the weight store's rate also where planning rounds are late

At most two loads started in one round. With a store of 26 loads a second and ten rounds a second that wastes a fifth of the rate, and more when a round is late. The permits of 0.3 s may now accumulate, at least two: stores of less than 7 loads a second see no change.

--- a/lib/scale/planner.go
+++ b/lib/scale/planner.go
@@ -48,8 +48,11 @@
 	maxMemoryWait = 1500 * time.Millisecond
 	// minCopyAge is the minimum age of a copy before it may be evicted.
 	minCopyAge = 4 * time.Second
-	// permitBurst is the number of loads from the weight store that may start at once.
-	permitBurst = 2
+	// permitBurst is the number of loads from the weight store that may start at once, and
+	// permitBurstTime the time of the store's rate after which more may start: a late planning
+	// round would waste permits otherwise.
+	permitBurst     = 2
+	permitBurstTime = 300 * time.Millisecond
 	// storeRateShare is the share of the weight store's load rate that the planner uses. The
 	// rest is a margin for loads that start seconds after their order because a response
 	// was lost.
@@ -111,10 +114,15 @@
 	if !p.refilledAt.IsZero() {
 		p.permits += in.Now.Sub(p.refilledAt).Seconds() * in.Engine.LoadsPerSecond * storeRateShare
 	}
-	p.permits = min(p.permits, permitBurst)
+	p.permits = min(p.permits, maxPermits(in.Engine))
 	p.refilledAt = in.Now
 }
 
+// maxPermits returns the number of loads from the weight store that may start at once.
+func maxPermits(e *site.Engine) float64 {
+	return max(permitBurst, e.LoadsPerSecond*permitBurstTime.Seconds())
+}
+
 // modelState is the supply and the demand of one model.
 type modelState struct {
 	model *site.Model
--- a/lib/scale/round.go
+++ b/lib/scale/round.go
@@ -174,7 +174,7 @@
 // of one until a load completes. It starts none unless all permits are available, so
 // that some are left for models that need a copy.
 func (r *round) loadSpareCopy() *Target {
-	if r.planner.permits < permitBurst {
+	if r.planner.permits < maxPermits(r.in.Engine) {
 		return nil
 	}
 	var idle []*roundTarget
