Choose among two random targets of a plain service

At 105 entry instances the six replicas of the plain service of the large site rejected a third of what arrived, with twice as much capacity as is asked: requests last 60 ms, reports of load are half a second old and alike for all instances, so the replica with the lowest reported load was the choice of all until the next report. A request now chooses the less loaded of two targets drawn at random among those that are sound and not limited.

--- a/lib/steer/steer.go
+++ b/lib/steer/steer.go
@@ -95,6 +95,7 @@
 // can take the request now. skip excludes targets that were already tried. Targets
 // in back-off are used only if there is no other.
 func Pick(now time.Time, s Selection, r *Request, targets []*Target, skip func(*Target) bool) Choice {
+	skip = sample(now, r, targets, skip)
 	keys := r.prefixKeys()
 	src := findCacheSource(now, r, keys, targets)
 	var best Choice
