--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -35,6 +35,9 @@
 	// gets the answer.
 	answer func(n int) (executed, answered bool)
 	sends  int
+	// busy is the value of EngineState.Busy, and reports the number of reports.
+	busy    bool
+	reports int
 	// delayed holds the orders that arrive late, for the test to execute.
 	delayed []EngineOrder
 	// blocked, if set, blocks the sending of orders until it is closed or the sender gives
@@ -115,11 +118,12 @@
 func (e *fakeEngine) report(context.Context, fleet.Announcement) (EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.reports++
 	return e.state(), nil
 }
 
 func (e *fakeEngine) state() EngineState {
-	s := EngineState{AcceptedOrders: e.count}
+	s := EngineState{AcceptedOrders: e.count, Busy: e.busy}
 	for m, adapters := range e.models {
 		h := scale.ReportedModel{Model: m}
 		for a := range adapters {
@@ -294,6 +298,26 @@
 	assert.Assert(t, f.engines["t1"].Copies["m0"].Adapters["a1"] != nil)
 }
 
+// Guards against a report for each request that wants an adapter of an engine which executes an
+// order of the previous leader.
+func TestBusyEngineIsNotAskedAllTheTime(t *testing.T) {
+	e := newFakeEngine()
+	e.models["m0"] = map[string]bool{}
+	e.busy = true
+	f := startFleet(t, e)
+	announce(t, f, e, 1)
+	for range 20 {
+		assert.ErrorContains(t, fetch(t, f, "a1"), errEngineBusy.Error())
+	}
+	e.mu.Lock()
+	e.busy = false
+	reports := e.reports
+	e.mu.Unlock()
+	assert.Assert(t, reports <= 2, "%d reports", reports)
+	time.Sleep(effectPollInterval)
+	assert.NilError(t, fetch(t, f, "a1"))
+}
+
 // Guards against the eviction of an adapter in use, and against orders to an engine
 // whose adapter slots are all in use.
 func TestAdaptersInUseAreNotEvicted(t *testing.T) {
--- a/control/order.go
+++ b/control/order.go
@@ -112,6 +112,9 @@
 	// orderCountKnown is set. Both are guarded by sending.
 	orderCount      uint64
 	orderCountKnown bool
+	// busyUntil is the time until which the engine is not asked again for the sake of an
+	// adapter, after it reported an order of somebody else in progress. It is guarded by sending.
+	busyUntil time.Time
 }
 
 // orderLock serializes the orders to one engine. Unlike that of a mutex, its wait can be
@@ -348,8 +351,11 @@
 	f.mu.Lock()
 	upToDate := eng.orderCountKnown && !eng.Forgot
 	f.mu.Unlock()
-	if upToDate {
+	switch {
+	case upToDate:
 		return false, nil
+	case o.Adapter != "" && time.Now().Before(eng.busyUntil):
+		return false, errEngineBusy
 	}
 	if !f.mayOrder(term, eng) {
 		return false, errors.New("target or leadership lost")
@@ -366,6 +372,7 @@
 		if unanswered && o.Adapter == "" {
 			return true, nil
 		}
+		eng.busyUntil = time.Now().Add(effectPollInterval)
 		return false, errEngineBusy
 	}
 	eng.orderCount, eng.orderCountKnown = e.AcceptedOrders, true
