--- a/entry/gate/choose.go
+++ b/entry/gate/choose.go
@@ -89,18 +89,13 @@
 		choice = steer.Pick(now, s, &c.prompt, targets, skip)
 	}
 	c.countDemand(now, choice)
-	until, loading := steer.LoadingUntil(c.prompt.Model, targets)
-	c.resumesAt, _ = steer.PausedUntil(now, c.prompt.Model, targets, stale)
-	paused := c.resumesAt.Sub(now) > c.maxHold(now) && (!loading || c.resumesAt.Before(until))
-	if choice.Target == nil && !c.confirming && paused {
-		return steer.Choice{}, time.Time{}, c.pauseFailure(now)
+	if choice.Target == nil {
+		until, f = c.selectWait(now, targets, stale)
+		return choice, until, f
 	}
 	if c.limitExhausted(now, choice.Target) {
 		return steer.Choice{}, time.Time{}, c.limitFailure()
 	}
-	if choice.Target == nil {
-		return choice, until, nil
-	}
 	t := choice.Target
 	c.dest = destination{Target: relay.Target{ID: t.ID, Addr: t.Addr}, startedAt: t.StartedAt}
 	if choice.CopyFrom != nil {
@@ -116,6 +111,19 @@
 	return choice, time.Time{}, nil
 }
 
+// selectWait returns the time at which a load of the model is expected to finish, as selectTarget
+// does if there is no target, and sets resumesAt. It fails if all targets have asked for a pause
+// that is too long to wait for. The caller holds mu.
+func (c *call) selectWait(now time.Time, targets []*steer.Target, stale func(*steer.Target) bool) (until time.Time, f *failure) {
+	until, loading := steer.LoadingUntil(c.prompt.Model, targets)
+	c.resumesAt, _ = steer.PausedUntil(now, c.prompt.Model, targets, stale)
+	tooLong := c.resumesAt.Sub(now) > c.maxHold(now) && (!loading || c.resumesAt.Before(until))
+	if tooLong && !c.confirming {
+		return time.Time{}, c.pauseFailure(now)
+	}
+	return until, nil
+}
+
 // pollInterval returns how long the request waits for a change of the table before it looks
 // for a target again.
 func (c *call) pollInterval(now time.Time) time.Duration {
