--- a/control/order.go
+++ b/control/order.go
@@ -117,8 +117,7 @@
 	busyUntil time.Time
 }
 
-// orderLock serializes the orders to one engine. Unlike that of a mutex, its wait can be
-// bounded.
+// orderLock is a lock whose wait can be bounded, unlike that of a mutex.
 type orderLock chan struct{}
 
 func newOrderLock() orderLock { return make(orderLock, 1) }
@@ -395,7 +394,7 @@
 }
 
 // withinLimits reports whether everything that may be resident at the engine, orders in
-// progress included, is within its limits.
+// progress included, is known to be within its limits.
 func (f *Fleet) withinLimits(eng *engine) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -176,10 +176,8 @@
 	c.recordAdapterUse(t)
 	c.setSendHeaders()
 	sentAt := time.Now()
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	c.watchParts(cancel)
-	defer c.unwatchParts()
+	attemptCtx, endAttempt := c.startAttempt(ctx)
+	defer endAttempt()
 	answer, err := c.gateway.targetConns.Do(attemptCtx, c.dest.Target, connLimit(c.service), c.outbound)
 	if err != nil {
 		res := sendFailure(err)
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -185,8 +185,9 @@
 	g.budgets.SetInstances(now, int(reply.GetEntries()))
 	g.applyCached(reply)
 	if n := g.suspects.apply(now, reply.GetSuspects()); n > 0 {
+		cancelled := g.suspects.cancelRunning()
 		g.log.Warn().Str("event", "suspectsChanged").Uint64("term", reply.GetTerm()).Int("news", n).
-			Int("suspects", len(g.suspects.verdicts)).Int("cancelled", g.suspects.cancelRunning()).Msg("")
+			Int("suspects", len(g.suspects.verdicts)).Int("cancelled", cancelled).Msg("")
 	}
 	g.controlMembers = g.controlMembers[:0]
 	for _, text := range reply.GetControl() {
--- a/entry/gate/trial.go
+++ b/entry/gate/trial.go
@@ -96,25 +96,25 @@
 	return ready
 }
 
-// watchParts lets cancelRunning cancel the current attempt as long as a part of the prompt may
-// crash its target.
-func (c *call) watchParts(cancel context.CancelCauseFunc) {
+// startAttempt returns the context of an attempt, and a function that ends it. While a part of the
+// prompt may crash the target, cancelRunning can cancel the attempt.
+func (c *call) startAttempt(ctx context.Context) (attemptCtx context.Context, end func()) {
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	g := c.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.onTrial || len(c.unclearedParts()) == 0 {
-		return
+	if !c.onTrial && len(c.unclearedParts()) > 0 {
+		if g.suspects.running == nil {
+			g.suspects.running = make(map[*call]context.CancelCauseFunc)
+		}
+		g.suspects.running[c] = cancel
 	}
-	if g.suspects.running == nil {
-		g.suspects.running = make(map[*call]context.CancelCauseFunc)
+	return attemptCtx, func() {
+		g.mu.Lock()
+		delete(g.suspects.running, c)
+		g.mu.Unlock()
+		cancel(nil)
 	}
-	g.suspects.running[c] = cancel
-}
-
-func (c *call) unwatchParts() {
-	c.gateway.mu.Lock()
-	defer c.gateway.mu.Unlock()
-	delete(c.gateway.suspects.running, c)
 }
 
 // cancelRunning cancels the attempts with suspect parts that have no output yet, and returns
