--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -10,8 +10,10 @@
 
 const (
 	deadlyBody = "payment that crashes each replica that begins to run it"
-	// deadlyPeriod is the time between two attempts of the caller whose request crashes replicas.
-	deadlyPeriod = 2500 * time.Millisecond
+	// deadlyPeriod is the time between two attempts of the caller whose request crashes replicas,
+	// and shortPeriod the same between the rounds of restarts.
+	deadlyPeriod = 3500 * time.Millisecond
+	shortPeriod  = 2500 * time.Millisecond
 	// crashTime is the time after which a crashed replica is back.
 	crashTime = 2 * time.Second
 	// maxRetries is the number of retries that may reach replicas later than stableWindow after
@@ -57,7 +59,7 @@
 }
 
 // startLedger starts three replicas of the plain service, with a request that crashes them.
-func (r *rig) startLedger(beatDelay, work time.Duration) (*deadlyCount, error) {
+func (r *rig) startLedger(beatDelay, work time.Duration, darkCrash bool) (*deadlyCount, error) {
 	d := &deadlyCount{}
 	for i := range 3 {
 		port, err := freePort(r.ip(100 + i))
@@ -67,10 +69,7 @@
 		x := &replica{
 			rig: r, addr: fmt.Sprintf("%s:%d", r.ip(100+i), port), zone: fmt.Sprintf("zone-%c", 'a'+i), service: serviceName,
 			beatDelay: beatDelay, work: work, deadly: deadlyBody,
-			onDeadly: func(x *replica, id string) {
-				d.add(id)
-				x.restartAfter(crashTime)
-			},
+			darkCrash: darkCrash, onDeadly: func(_ *replica, id string) { d.add(id) },
 		}
 		if err := x.start(); err != nil {
 			return nil, err
@@ -94,12 +93,12 @@
 }
 
 // sendDeadly sends the request that crashes replicas n times, at the machines in turn.
-func (r *rig) sendDeadly(n int) error {
+func (r *rig) sendDeadly(n int, period time.Duration) error {
 	for i := range n {
 		m := r.machines[i%len(r.machines)]
 		a := r.send(m, http.MethodPost, paymentPath+"17", deadlyBody, callDeadline)
 		r.logf("client sent %s (the deadly request) to %s: %s", a.id, m.name, a)
-		if err := r.sleep(deadlyPeriod); err != nil {
+		if err := r.sleep(period); err != nil {
 			return err
 		}
 	}
@@ -159,10 +158,18 @@
 	if trouble {
 		delay = lateBy
 	}
+	return r.repeatDeadly(delay, false)
+}
+
+// darkCrashes: the replicas vanish silently when they crash.
+func darkCrashes(r *rig, trouble bool) (bool, error) { return r.repeatDeadly(0, trouble) }
+
+// repeatDeadly sends the request that crashes replicas again and again.
+func (r *rig) repeatDeadly(delay time.Duration, darkCrash bool) (bool, error) {
 	if err := r.startMachines(plainConfig(1)); err != nil {
 		return false, err
 	}
-	d, err := r.startLedger(delay, workTime)
+	d, err := r.startLedger(delay, workTime, darkCrash)
 	if err != nil {
 		return false, err
 	}
@@ -173,7 +180,7 @@
 		return false, err
 	}
 	stop := r.bystanders(100 * time.Millisecond)
-	if err := r.sendDeadly(14); err != nil {
+	if err := r.sendDeadly(14, deadlyPeriod); err != nil {
 		return false, err
 	}
 	served, failed := stop()
@@ -189,7 +196,7 @@
 	if err := r.startMachines(plainConfig(1)); err != nil {
 		return false, err
 	}
-	d, err := r.startLedger(0, workTime)
+	d, err := r.startLedger(0, workTime, false)
 	if err != nil {
 		return false, err
 	}
@@ -199,7 +206,7 @@
 	if err := r.sleep(stableWindow + catchUp); err != nil {
 		return false, err
 	}
-	if err := r.sendDeadly(5); err != nil {
+	if err := r.sendDeadly(5, shortPeriod); err != nil {
 		return false, err
 	}
 	if d.number() < crashesToKnow {
@@ -214,7 +221,7 @@
 		if err := r.sleep(stableWindow + 500*time.Millisecond); err != nil {
 			return false, err
 		}
-		if err := r.sendDeadly(5); err != nil {
+		if err := r.sendDeadly(5, shortPeriod); err != nil {
 			return false, err
 		}
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,9 +26,10 @@
 type scenario func(r *rig, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"lateBeats": lateBeats,
-	"rolling":   rolling,
-	"lateFirst": lateFirst,
+	"lateBeats":   lateBeats,
+	"darkCrashes": darkCrashes,
+	"rolling":     rolling,
+	"lateFirst":   lateFirst,
 }
 
 var errInterrupted = errors.New("interrupted or out of time")
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -39,12 +39,16 @@
 	onRun func(x *replica, requestID string)
 	// deadly is the body of the request that crashes each replica that begins to run it.
 	deadly string
-	// onDeadly is called when the replica has crashed because of that request.
+	// darkCrash makes it vanish silently then, as with its machine; otherwise its connections are
+	// reset.
+	darkCrash bool
+	// onDeadly is called when the replica begins to run that request.
 	onDeadly func(x *replica, requestID string)
 
 	leaving atomic.Bool
 
 	srv    *http.Server
+	ln     net.Listener
 	alive  context.Context
 	die    context.CancelFunc
 	slots  chan struct{}
@@ -68,7 +72,7 @@
 	x.alive, x.die = context.WithCancel(x.rig.closing)
 	x.slots, x.queued = make(chan struct{}, replicaSlots), make(chan struct{}, replicaSlots+replicaQueue)
 	x.conns = make(map[net.Conn]bool)
-	x.srv = &http.Server{Handler: x, ConnState: x.track}
+	x.srv, x.ln = &http.Server{Handler: x, ConnState: x.track}, ln
 	x.rig.mu.Lock()
 	x.rig.replicas = append(x.rig.replicas, x)
 	x.rig.mu.Unlock()
@@ -103,6 +107,23 @@
 	_ = x.srv.Close()
 }
 
+// vanish ends the replica without a word: its connections stay as they are, and no new one is
+// answered. restore ends that state.
+func (x *replica) vanish() (restore func(), err error) {
+	x.die()
+	if err := x.ln.Close(); err != nil {
+		return nil, err
+	}
+	d, err := goDark(x.addr)
+	if err != nil {
+		return nil, err
+	}
+	return func() {
+		d.close()
+		x.crash()
+	}, nil
+}
+
 // restartAfter starts a new incarnation, with a new id, at the same address.
 func (x *replica) restartAfter(d time.Duration) {
 	x.rig.wg.Go(func() {
@@ -111,7 +132,7 @@
 		}
 		y := &replica{
 			rig: x.rig, addr: x.addr, zone: x.zone, service: x.service, work: x.work, beatDelay: x.beatDelay,
-			deadly: x.deadly, onDeadly: x.onDeadly,
+			deadly: x.deadly, darkCrash: x.darkCrash, onDeadly: x.onDeadly,
 		}
 		if err := y.start(); err != nil {
 			x.rig.logf("replica at %s could not start again: %v", x.addr, err)
@@ -165,10 +186,7 @@
 	}
 	defer func() { <-x.slots }()
 	if x.deadly != "" && string(body) == x.deadly {
-		x.rig.logf("replica %s begins to run %s, and crashes", x.id, id)
-		go x.crash()
-		<-x.alive.Done()
-		x.onDeadly(x, id)
+		x.runDeadly(id)
 		panic(http.ErrAbortHandler)
 	}
 	x.mu.Lock()
@@ -188,6 +206,26 @@
 	_, _ = io.WriteString(w, answer)
 }
 
+// runDeadly crashes the replica, which is back after crashTime.
+func (x *replica) runDeadly(id string) {
+	x.rig.logf("replica %s begins to run %s, and crashes", x.id, id)
+	x.onDeadly(x, id)
+	if !x.darkCrash {
+		go x.crash()
+		<-x.alive.Done()
+		x.restartAfter(crashTime)
+		return
+	}
+	restore, err := x.vanish()
+	if err != nil {
+		x.rig.logf("replica %s could not vanish: %v", x.id, err)
+		return
+	}
+	_ = x.rig.sleep(crashTime)
+	restore()
+	x.restartAfter(0)
+}
+
 // beat sends a heartbeat each heartbeatPeriod while the replica is alive.
 func (x *replica) beat() {
 	ticker := time.NewTicker(heartbeatPeriod)
