Record the leaving of a target with an agent that this leader does not know

Nothing was seen from outside: the agent itself refuses. Ruled out that the table grows: the record is a tombstone like any other, of which the oldest are purged.

The oracle of TestDirectoryAgainstOracle expected the fault; it expects the record now and failed before, after one history.

--- a/lib/member/member_test.go
+++ b/lib/member/member_test.go
@@ -78,7 +78,10 @@
 				n := name.Draw(t, "target")
 				incarnation := uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))
 				tab.Leave(n, incarnation)
-				if o := want[n]; o != nil && incarnation >= o.incarnation {
+				if want[n] == nil {
+					want[n] = &target{seen: now}
+				}
+				if o := want[n]; incarnation >= o.incarnation {
 					o.incarnation, o.phase = incarnation, wire.Phase_PHASE_LEAVING
 				}
 			},
@@ -133,6 +136,19 @@
 	})
 }
 
+// Guards against listing a target as ready that has left before this leader knew it, because its
+// announcement arrives only afterwards.
+func TestLeavingOfAnUnknownTarget(t *testing.T) {
+	tab := newLeaderTable()
+	tab.Leave("t1", 2)
+	for incarnation := range uint64(3) {
+		tab.Announce(epoch, announcement("t1", incarnation, wire.Phase_PHASE_READY, 0))
+		assert.Equal(t, tab.Size(), 0, "incarnation %d", incarnation)
+	}
+	tab.Announce(epoch, announcement("t1", 3, wire.Phase_PHASE_READY, 0))
+	assert.Equal(t, tab.Size(), 1)
+}
+
 func announcement(name string, incarnation uint64, phase wire.Phase, resident int) *wire.Announcement {
 	a := &wire.Announcement{
 		Target: name, Address: "10.0.0.1:7100", Zone: "zone-1", Team: "team-1", Kind: wire.TargetKind_TARGET_KIND_ENGINE,
--- a/lib/member/target.go
+++ b/lib/member/target.go
@@ -84,11 +84,18 @@
 }
 
 // Leave applies the last message of a target that is shutting down. It reports whether
-// the directory changed.
+// the directory changed. A target that this table does not know is recorded too, because an
+// earlier announcement may arrive later.
 func (t *Table) Leave(name string, incarnation uint64) bool {
 	delete(t.processes, processKey{wire.Role_ROLE_AGENT, name})
 	row, ok := t.targets[name]
-	if !ok || incarnation < row.incarnation {
+	switch {
+	case !ok && incarnation == 0:
+		return false // No announcement could be told to be earlier.
+	case !ok:
+		row = &targetRow{name: name}
+		t.targets[name] = row
+	case incarnation < row.incarnation:
 		return false
 	}
 	row.incarnation, row.phase, row.announced = incarnation, wire.Phase_PHASE_LEAVING, nil
