Ignore the end of an earlier process of a target

Cause: the end was applied to whatever process has the id; the start time that the call tells is compared now, as that of announcements. Ends without one are applied as before.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -193,7 +193,7 @@
 	case old == nil || old.Born.Before(born):
 		t.RecordLeft(now, id, born)
 		return true
-	case old.left:
+	case old.left, !born.IsZero() && old.Born.After(born):
 		return false
 	}
 	known := !old.removed
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -127,6 +127,19 @@
 	}
 }
 
+// Guards against the end of an earlier process, arriving late, that takes the next process with the
+// same id out of use.
+func TestLateEndOfAnEarlierProcess(t *testing.T) {
+	x := newTable()
+	x.Announce(start, announcement("a", "10.0.0.1:80", 100, 5))
+	assert.Assert(t, x.Leave(start, "a", time.UnixMilli(100)))
+	x.Announce(start, announcement("a", "10.0.0.1:80", 200, 1))
+	assert.Assert(t, !x.Leave(start, "a", time.UnixMilli(100)))
+	assert.DeepEqual(t, ids(x), []string{"a"})
+	assert.Assert(t, x.Leave(start, "a", time.UnixMilli(200)))
+	assert.Equal(t, len(x.Live()), 0)
+}
+
 // Guards against a table that grows with each end of an unknown process.
 func TestEndsOfUnknownProcessesAreBounded(t *testing.T) {
 	x := newTable()
