Record the requests with which targets were lost, so that restarts do not forget them

Cause: the leader counts lost processes for parts of prompts and for whole requests; only the first count was replicated. Entry instances kept their verdicts instead, and lose them at their own restart. Ruled out: heartbeats that take the losses back (TestLossesOutliveTheLeader has none, and the next leader knew the part and not the request), and the expiry of the verdict (ten minutes; a round takes 30 s).

Both counts are saved in one write now, when they have changed. A report that tells of losses is answered once they are recorded, at the latest after 0.1 s, so that its sender repeats it to the next leader otherwise. A new leader takes no loss to be later than its own clock says, and counts the time after which an announcement proves life from when it learned of the loss. At most 256 requests and parts each are saved, those with most lost processes first. As verdicts outlive restarts now, "bulrushpath clear" lifts those on requests too. The lock with a bounded wait, which had been that of orders, has a file of its own.

New besides: TestSavedRequestsOutliveTheLeader, TestSavePrefersWhatIsBlocked, TestReportedLossesAreRecordedFirst.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -59,6 +59,8 @@
 
 	// rosterMu serializes the updates of the roster.
 	rosterMu sync.Mutex
+	// savingLosses serializes the writes of lost requests.
+	savingLosses timedLock
 
 	// mu guards everything below.
 	mu sync.Mutex
@@ -114,7 +116,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	f := &Fleet{
 		svc: svc, log: logger, decode: o.decode, engineClient: o.engineClient, orderPause: o.orderPause,
-		announcePeriod: o.announcePeriod, holder: holder, ctx: ctx, stop: stop,
+		announcePeriod: o.announcePeriod, holder: holder, ctx: ctx, stop: stop, savingLosses: newTimedLock(),
 		metrics: fleetMetrics{
 			reports: scope.Counter("reports"), announcements: scope.Counter("announcements"),
 			orders: scope.Counter("orders"), orderFailures: scope.Counter("orderFailures"),
@@ -158,7 +160,7 @@
 	if term > f.term {
 		f.reset(time.Now(), term)
 		f.restoreTargets(time.Now())
-		f.restoreParts()
+		f.restoreLosses(time.Now())
 	}
 	return term, nil
 }
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -531,17 +531,17 @@
 	}
 	loop(func(n uint64) { announce(t, f, e, n) })
 	loop(func(uint64) { f.tick(time.Now()) })
-	loop(func(uint64) { assert.Check(t, f.saveParts(ctx) == nil || ctx.Err() != nil) })
+	loop(func(uint64) { assert.Check(t, f.saveLosses(ctx) == nil || ctx.Err() != nil) })
 	loop(func(n uint64) {
-		f.clearPart(poison.Fingerprint(partBytes(n % 5)))
+		f.clearVerdict(poison.Fingerprint(partBytes(n % 5)))
 		marshal(&wire.FleetReply{Suspects: f.lostSuspects(time.Now())}, nil)
 	})
 	wg.Wait()
 }
 
-// Guards against a new leader that does not know the parts of prompts with which the previous
+// Guards against a new leader that does not know the requests and parts of prompts with which the previous
 // one has lost targets, and against a verdict that an operator cannot lift.
-func TestLostPartsOutliveTheLeader(t *testing.T) {
+func TestLossesOutliveTheLeader(t *testing.T) {
 	p := testProcess()
 	svc := newService("c1", p)
 	svc.group = singleInstance(svc)
@@ -558,17 +558,19 @@
 		}}})
 		assert.NilError(t, err)
 	}
-	assert.NilError(t, f.saveParts(t.Context()))
+	assert.NilError(t, f.saveLosses(t.Context()))
 	term = 2
 	reply, _, err := f.report(time.Now(), &wire.FleetRequest{Name: "e"})
 	assert.NilError(t, err)
-	assert.Equal(t, len(reply.GetSuspects()), 1)
-	assert.DeepEqual(t, reply.GetSuspects()[0].GetFingerprint(), fp[:])
-	assert.Equal(t, reply.GetSuspects()[0].GetVerdict(), wire.Verdict_VERDICT_BLOCKED)
-
-	lifted, err := svc.Clear(t.Context(), &wire.ClearRequest{Protocol: link.Protocol, Fingerprint: fp[:]})
-	assert.NilError(t, err)
-	assert.Assert(t, lifted.GetKnown())
+	assert.Equal(t, len(reply.GetSuspects()), 2)
+	assert.DeepEqual(t, reply.GetSuspects()[0].GetFingerprint(), request[:])
+	assert.DeepEqual(t, reply.GetSuspects()[1].GetFingerprint(), fp[:])
+	for _, s := range reply.GetSuspects() {
+		assert.Equal(t, s.GetVerdict(), wire.Verdict_VERDICT_BLOCKED)
+		lifted, err := svc.Clear(t.Context(), &wire.ClearRequest{Protocol: link.Protocol, Fingerprint: s.GetFingerprint()})
+		assert.NilError(t, err)
+		assert.Assert(t, lifted.GetKnown())
+	}
 	reply, _, err = f.report(time.Now(), &wire.FleetRequest{Name: "e"})
 	assert.NilError(t, err)
 	assert.Equal(t, len(reply.GetSuspects()), 0)
--- a/control/lost.go
+++ b/control/lost.go
@@ -14,11 +14,13 @@
 )
 
 const (
-	// partsPeriod is the interval between two writes of the parts of prompts with which
-	// targets were lost, if they have changed.
-	partsPeriod = 100 * time.Millisecond
-	// partsTimeout bounds one write.
-	partsTimeout = time.Second
+	// lossSavePeriod is the interval between two writes of the losses, if they have changed.
+	lossSavePeriod = 100 * time.Millisecond
+	// lossSaveTimeout bounds one write.
+	lossSaveTimeout = time.Second
+	// reportSaveTimeout bounds the wait of a report for the write of the losses in it. It is short
+	// because the reply also shows the entry instance that it is in contact with control.
+	reportSaveTimeout = 100 * time.Millisecond
 )
 
 // recordLostRequests records the requests whose targets were lost while they ran them,
@@ -79,43 +81,62 @@
 	return out
 }
 
-// restoreParts fills the counts of a new term with those that the previous leader has
-// recorded. The caller holds mu.
-func (f *Fleet) restoreParts() {
+// restoreLosses fills the counts of a new term with those that the previous leader has recorded.
+// The caller holds mu.
+func (f *Fleet) restoreLosses(now time.Time) {
 	f.svc.machineMu.RLock()
 	defer f.svc.machineMu.RUnlock()
-	f.lostParts.Load(f.svc.machine.PartLosses())
+	saved := f.svc.machine.PartLosses()
+	f.lostParts.Load(now, saved.GetParts())
+	f.lostRequests.Load(now, saved.GetRequests())
 }
 
-// saveParts records the parts of prompts with which targets were lost, so that a new leader
-// need not lose further targets to know them.
-func (f *Fleet) saveParts(ctx context.Context) error {
+// saveLosses records the requests and the parts of prompts with which targets were lost, so that
+// a new leader need not lose further targets to know them. It waits for a write in progress,
+// which may not have them all.
+func (f *Fleet) saveLosses(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, lossSaveTimeout)
+	defer cancel()
+	if !f.savingLosses.tryLock(ctx, lossSaveTimeout) {
+		return ctx.Err()
+	}
+	defer f.savingLosses.unlock()
 	f.mu.Lock()
-	if _, err := f.requireLeader(); err != nil {
+	if _, err := f.requireLeader(); err != nil || !f.lostParts.Unsaved() && !f.lostRequests.Unsaved() {
 		f.mu.Unlock()
 		return nil
 	}
-	losses, changed := f.lostParts.Save()
+	losses := &wire.PartLosses{Parts: f.lostParts.Save(), Requests: f.lostRequests.Save()}
 	f.mu.Unlock()
-	if !changed {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, partsTimeout)
-	defer cancel()
 	_, err := f.svc.propose(ctx, &wire.Command{Body: &wire.Command_PartLosses{PartLosses: losses}})
 	if err != nil {
 		f.mu.Lock()
-		f.lostParts.SaveAgain()
+		f.lostRequests.SaveAgain()
 		f.mu.Unlock()
 	}
 	return err
 }
 
-// clearPart lifts the verdict on a part of prompts, for an operator.
-func (f *Fleet) clearPart(fp poison.Fingerprint) (known bool) {
+// saveReported waits for the record of what a report says about lost requests, so that the entry
+// instance sends it again if this leader ends before. If it takes too long, saveLosses records it
+// later.
+func (f *Fleet) saveReported(ctx context.Context, req *wire.FleetRequest) {
+	if len(req.GetLost())+len(req.GetCompleted()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportSaveTimeout)
+	defer cancel()
+	if err := f.saveLosses(ctx); err != nil {
+		f.log.Warn().Str("event", "lossesNotSaved").Str("entry", req.GetName()).Err(err).Msg("")
+	}
+}
+
+// clearVerdict lifts the verdict on a request or on a part of prompts, for an operator.
+func (f *Fleet) clearVerdict(fp poison.Fingerprint) (known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lostParts.RecordCompletion(fp)
+	request, part := f.lostRequests.RecordCompletion(fp), f.lostParts.RecordCompletion(fp)
+	return request || part
 }
 
 // lostSuspects returns the requests and parts of prompts that are suspects or blocked.
@@ -125,8 +146,8 @@
 	return append(f.lostRequests.Suspects(now), f.lostParts.Suspects(now)...)
 }
 
-// Clear lifts the verdict on a part of prompts that targets were lost with. It is for
-// operators who know that the loss had another cause.
+// Clear lifts the verdict on a request, or on a part of prompts, that targets were lost with. It is
+// for operators who know that the loss had another cause.
 func (s *service) Clear(_ context.Context, req *wire.ClearRequest) (*wire.ClearReply, error) {
 	if err := link.CheckProtocol(req.GetProtocol()); err != nil {
 		return nil, err
@@ -140,7 +161,7 @@
 	if s.fleet == nil {
 		return nil, link.Errorf(link.CodeInvalid, "this group has no targets that announce themselves")
 	}
-	known := s.fleet.clearPart(poison.Fingerprint(req.GetFingerprint()))
+	known := s.fleet.clearVerdict(poison.Fingerprint(req.GetFingerprint()))
 	s.log.Warn().Str("event", "verdictLifted").Hex("fingerprint", req.GetFingerprint()).Bool("known", known).Msg("")
 	return &wire.ClearReply{Known: known}, nil
 }
--- a/control/order.go
+++ b/control/order.go
@@ -107,7 +107,7 @@
 	// Fleet.mu.
 	announcement fleet.Announcement
 	// sending serializes the orders to this engine.
-	sending orderLock
+	sending timedLock
 	// orderCount is the number of orders that the engine has accepted, valid if
 	// orderCountKnown is set. Both are guarded by sending.
 	orderCount      uint64
@@ -117,27 +117,6 @@
 	busyUntil time.Time
 }
 
-// orderLock is a lock whose wait can be bounded, unlike that of a mutex.
-type orderLock chan struct{}
-
-func newOrderLock() orderLock { return make(orderLock, 1) }
-
-func (l orderLock) lock() { l <- struct{}{} }
-
-func (l orderLock) unlock() { <-l }
-
-// tryLock reports whether it has locked l within d, before ctx ended.
-func (l orderLock) tryLock(ctx context.Context, d time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	select {
-	case l <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // modelRecords returns the models of a target as they are sent to entry instances.
 // ordered reports whether a model order is planned or in progress. The caller holds mu.
 func (f *Fleet) modelRecords(id string, held []fleet.Model) (list []*wire.FleetModel, ordered bool) {
@@ -156,7 +135,7 @@
 func (f *Fleet) observe(now time.Time, a fleet.Announcement, e EngineState) bool {
 	eng := f.engines[a.ID]
 	if eng == nil {
-		eng = &engine{Target: *scale.NewTarget(a.ID, a.Zone), sending: newOrderLock()}
+		eng = &engine{Target: *scale.NewTarget(a.ID, a.Zone), sending: newTimedLock()}
 		f.engines[a.ID] = eng
 	}
 	eng.announcement = a
--- a/control/report.go
+++ b/control/report.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.saveReported(ctx, req)
 	// If this instance was paused or deposed in the meantime, the reply may be outdated
 	// and must not be sent.
 	if current, ok := f.svc.group.Leading(); !ok || current != term {
--- a/control/report_test.go
+++ b/control/report_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"bytes"
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"bulrushpath.example/lib/link"
+	"bulrushpath.example/lib/poison"
 	"bulrushpath.example/lib/wire"
 )
 
@@ -124,3 +127,37 @@
 	f.addDocument(&wire.FleetRequest{AcceptPacked: true, DocumentVersion: 9}, reply)
 	assert.Equal(t, proto.Size(reply), 0)
 }
+
+// Guards against losses that an entry instance takes for known although the leader ends before it
+// has recorded them, and against reports that wait for a group without a majority.
+func TestReportedLossesAreRecordedFirst(t *testing.T) {
+	f := startFleet(t, newFakeEngine())
+	report := func(fp byte) {
+		t.Helper()
+		_, err := f.Report(t.Context(), &wire.FleetRequest{
+			Protocol: link.Protocol, Name: "e1", Term: 1, DocumentVersion: 3, Lost: []*wire.LostRequest{{
+				Fingerprint: bytes.Repeat([]byte{fp}, poison.FingerprintSize), Target: "t1", BornMillis: 1,
+			}},
+		})
+		assert.NilError(t, err)
+	}
+	recorded := func() int { return len(f.svc.machine.PartLosses().GetRequests()) }
+	report(1)
+	assert.Equal(t, recorded(), 1)
+	report(1)
+	report(2)
+	assert.Equal(t, recorded(), 2)
+
+	propose := f.svc.group.Propose
+	f.svc.group.Propose = func(ctx context.Context, _ []byte) ([]byte, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	begun := time.Now()
+	report(3)
+	assert.Assert(t, time.Since(begun) < lossSaveTimeout/2, "took %v", time.Since(begun))
+	f.svc.group.Propose = propose
+	assert.Equal(t, recorded(), 2)
+	assert.NilError(t, f.saveLosses(t.Context()))
+	assert.Equal(t, recorded(), 3)
+}
--- a/control/run.go
+++ b/control/run.go
@@ -43,7 +43,7 @@
 			f.tick(time.Now())
 			return nil
 		}})
-		tasks = append(tasks, daemon.Task{Name: "saveParts", Period: partsPeriod, Run: f.saveParts})
+		tasks = append(tasks, daemon.Task{Name: "saveLosses", Period: lossSavePeriod, Run: f.saveLosses})
 		tasks = append(tasks, daemon.Task{Name: "listTargets", Period: rosterPeriod, Run: f.updateRosterIfLeading})
 		register = func(mux *drpcmux.Mux) error {
 			if err := svc.register(mux); err != nil {
--- a/ctl/clear.go
+++ b/ctl/clear.go
@@ -10,15 +10,15 @@
 )
 
 const clearUsage = `
-Lifts the verdict on a part of prompts with which targets were lost. The status command
-lists the fingerprints. Requests with the part run again within a second; if targets are
-lost with it again, it is blocked again.
+Lifts the verdict on a request, or on a part of prompts, with which targets were lost. The
+status command lists the fingerprints. The request, or those with the part, run again within
+a second; if targets are lost again, it is blocked again.
 
 Exit codes: 0 lifted, 1 control group unreachable or fingerprint unknown.`
 
 type clearCmd struct {
 	controlFlags
-	Fingerprint string `arg:"" help:"Fingerprint of the part in hexadecimal, as listed by status."`
+	Fingerprint string `arg:"" help:"Fingerprint of the request or part in hexadecimal, as listed by status."`
 }
 
 // Help returns the detailed help text of the command.
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -30,7 +30,7 @@
 	Collect collectCmd `cmd:"" help:"Print the configuration compiled from the files."`
 	Publish publishCmd `cmd:"" help:"Publish the files as the next version and wait until it is in effect."`
 	Status  statusCmd  `cmd:"" help:"Show the control group, the current version, the processes and the targets."`
-	Clear   clearCmd   `cmd:"" help:"Lift the verdict on a part of prompts with which targets were lost."`
+	Clear   clearCmd   `cmd:"" help:"Lift the verdict on a request or a part of prompts with which targets were lost."`
 	Explain explainCmd `cmd:"" help:"Explain the state of a model, a service or a target."`
 }
 
--- a/lib/poison/count.go
+++ b/lib/poison/count.go
@@ -38,41 +38,57 @@
 	// byProcess indexes the requests by lost process, so that the cost of an
 	// announcement does not depend on the number of requests kept.
 	byProcess map[Process][]Fingerprint
+	// unsaved is set if Save would return other losses than the last time.
+	unsaved bool
 }
 
-// losses holds the processes that were lost while they ran one request, each
-// with the time of the loss.
+// losses holds the processes that were lost while they ran one request.
 type losses struct {
-	processes map[Process]time.Time
-	lastLoss  time.Time
+	processes map[Process]loss
+	// lastLoss is the latest time of a loss.
+	lastLoss time.Time
+}
+
+// loss is the loss of one process.
+type loss struct {
+	// at is the time of the loss, by the clock of the leader that counted it.
+	at time.Time
+	// knownAt is when this leader learned of it, by its own clock.
+	knownAt time.Time
 }
 
 // RecordLoss records that the process failed to complete its response to the request,
 // which may mean that it crashed.
 func (c *LossCounter) RecordLoss(now time.Time, fp Fingerprint, p Process) {
+	c.record(fp, p, loss{at: now, knownAt: now})
+}
+
+func (c *LossCounter) record(fp Fingerprint, p Process, l loss) {
 	if c.byFingerprint == nil {
 		c.byFingerprint, c.byProcess = make(map[Fingerprint]*losses), make(map[Process][]Fingerprint)
 	}
 	x := c.byFingerprint[fp]
 	if x == nil {
 		if len(c.byFingerprint) >= maxCountedRequests {
-			c.evict(now)
+			c.evict(l.knownAt)
 		}
-		x = &losses{processes: make(map[Process]time.Time)}
+		x = &losses{processes: make(map[Process]loss)}
 		c.byFingerprint[fp] = x
 	}
 	if _, known := x.processes[p]; !known {
 		c.byProcess[p] = append(c.byProcess[p], fp)
+		c.unsaved = true
 	}
-	x.processes[p] = now
-	if now.After(x.lastLoss) {
-		x.lastLoss = now
+	x.processes[p] = l
+	if l.at.After(x.lastLoss) {
+		x.lastLoss = l.at
 	}
 }
 
 // unlink removes the loss of the process from the request and from the index.
 func (c *LossCounter) unlink(fp Fingerprint, p Process) {
 	delete(c.byFingerprint[fp].processes, p)
+	c.unsaved = true
 	c.byProcess[p] = slices.DeleteFunc(c.byProcess[p], func(other Fingerprint) bool { return other == fp })
 	if len(c.byProcess[p]) == 0 {
 		delete(c.byProcess, p)
@@ -115,7 +131,7 @@
 func (c *LossCounter) RecordAnnouncement(now time.Time, p Process) {
 	for _, fp := range slices.Clone(c.byProcess[p]) {
 		x := c.byFingerprint[fp]
-		if now.Sub(x.processes[p]) <= aliveDelay {
+		if now.Sub(x.processes[p].knownAt) <= aliveDelay {
 			continue
 		}
 		c.unlink(fp, p)
@@ -125,8 +141,13 @@
 	}
 }
 
-// RecordCompletion records that a target completed the request, which clears it.
-func (c *LossCounter) RecordCompletion(fp Fingerprint) { c.remove(fp) }
+// RecordCompletion records that a target completed the request, which clears it. It reports
+// whether targets had been lost with the request.
+func (c *LossCounter) RecordCompletion(fp Fingerprint) (known bool) {
+	_, known = c.byFingerprint[fp]
+	c.remove(fp)
+	return known
+}
 
 // Suspects returns the requests that are suspects or blocked.
 func (c *LossCounter) Suspects(now time.Time) (out []*wire.Suspect) {
--- a/lib/poison/count_test.go
+++ b/lib/poison/count_test.go
@@ -69,6 +69,52 @@
 	assert.Equal(t, len(c.byProcess), maxCountedRequests)
 }
 
+// Guards against a new leader that loses three more targets to a request that the previous leader
+// had blocked (review/4), whatever the clocks of the two say, and against one that believes an
+// announcement from before the loss.
+func TestSavedRequestsOutliveTheLeader(t *testing.T) {
+	fp := Fingerprint{1}
+	for _, ahead := range []time.Duration{-5 * time.Second, 0, 5 * time.Second} {
+		t.Run(fmt.Sprint("clock of the first leader ahead by ", ahead), func(t *testing.T) {
+			now := time.Unix(1_800_000_000, 0)
+			var c LossCounter
+			for i := range blockThreshold {
+				c.RecordLoss(now.Add(ahead), fp, Process{fmt.Sprint("t", i), 1})
+				var next LossCounter
+				next.Load(now, c.Save())
+				c = next
+			}
+			assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_BLOCKED)
+			c.RecordAnnouncement(now.Add(aliveDelay/2), Process{"t0", 1})
+			assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_BLOCKED)
+			assert.Equal(t, verdictOf(&c, now.Add(lossRetention-6*time.Second), fp), wire.Verdict_VERDICT_BLOCKED)
+			assert.Equal(t, verdictOf(&c, now.Add(lossRetention+time.Second), fp), wire.Verdict_VERDICT_CLEAR)
+			c.RecordAnnouncement(now.Add(2*aliveDelay), Process{"t0", 1})
+			assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_SUSPECT, "a process that lives counts no more")
+			assert.Assert(t, c.Unsaved())
+		})
+	}
+}
+
+// Guards against saving many single losses, as of a crash under load, in place of a request that
+// is blocked.
+func TestSavePrefersWhatIsBlocked(t *testing.T) {
+	var c LossCounter
+	now, fp := time.Unix(1_800_000_000, 0), Fingerprint{255, 255}
+	for i := range blockThreshold {
+		c.RecordLoss(now, fp, Process{fmt.Sprint("t", i), 1})
+	}
+	for i := range 2 * maxSavedLosses {
+		now = now.Add(time.Millisecond)
+		c.RecordLoss(now, Fingerprint{byte(i), byte(i >> 8), 1}, Process{"t9", 1})
+	}
+	saved := c.Save()
+	assert.Equal(t, len(saved), maxSavedLosses)
+	assert.DeepEqual(t, saved[0].GetFingerprint(), fp[:])
+	latest := 2*maxSavedLosses - 1
+	assert.DeepEqual(t, saved[1].GetFingerprint()[:3], []byte{byte(latest), byte(latest >> 8), 1})
+}
+
 // Guards against inconsistent indexes, which would leave a request that cannot be
 // cleared or a process that is kept forever.
 func TestCountIndexesAgree(t *testing.T) {
--- a/lib/poison/parts.go
+++ b/lib/poison/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -63,8 +62,6 @@
 	// suspects holds the last result of Suspects, and stale whether it must be computed anew.
 	suspects []*wire.Suspect
 	stale    bool
-	// unsaved is set if Save would return another state than the last time.
-	unsaved bool
 	// trialEnds holds the ends of the trials of suspect parts that may be in progress.
 	trialEnds map[Fingerprint]time.Time
 }
@@ -93,54 +90,18 @@
 	return true
 }
 
-// maxSavedParts and maxSavedProcesses bound the state that Save returns. A part needs no more
-// than blockThreshold processes to stay blocked; a few more tell groups apart.
-const (
-	maxSavedParts     = 256
-	maxSavedProcesses = 2 * blockThreshold
-)
+// Unsaved reports whether the losses have changed since the last call of Save.
+func (c *PartCounter) Unsaved() bool { return c.losses.Unsaved() }
 
-// Save returns the losses, for Load at a later leader; ok is false if they have not
-// changed since the last call.
-func (c *PartCounter) Save() (out *wire.PartLosses, ok bool) {
-	if !c.unsaved {
-		return nil, false
-	}
-	c.unsaved = false
-	out = &wire.PartLosses{}
-	for fp, x := range c.losses.byFingerprint {
-		part := &wire.PartLoss{Fingerprint: fp[:]}
-		for p, at := range x.processes {
-			part.Processes = append(part.Processes, &wire.LostProcess{
-				Target: p.Target, BornMillis: p.BornMillis, LostUnixMillis: at.UnixMilli(),
-			})
-		}
-		slices.SortFunc(part.Processes, func(a, b *wire.LostProcess) int {
-			return cmp.Or(cmp.Compare(b.GetLostUnixMillis(), a.GetLostUnixMillis()), cmp.Compare(a.GetTarget(), b.GetTarget()))
-		})
-		part.Processes = part.Processes[:min(len(part.Processes), maxSavedProcesses)]
-		out.Parts = append(out.Parts, part)
-	}
-	slices.SortFunc(out.Parts, func(a, b *wire.PartLoss) int {
-		return cmp.Or(cmp.Compare(len(b.GetProcesses()), len(a.GetProcesses())), bytes.Compare(a.GetFingerprint(), b.GetFingerprint()))
-	})
-	out.Parts = out.Parts[:min(len(out.Parts), maxSavedParts)]
-	return out, true
-}
+// Save returns the losses, for Load at a later leader.
+func (c *PartCounter) Save() []*wire.PartLoss { return c.losses.Save() }
 
-// SaveAgain makes the next Save return the losses even if they do not change any more.
-func (c *PartCounter) SaveAgain() { c.unsaved = true }
+// SaveAgain makes Unsaved true even if the losses do not change any more.
+func (c *PartCounter) SaveAgain() { c.losses.SaveAgain() }
 
 // Load adds saved losses.
-func (c *PartCounter) Load(saved *wire.PartLosses) {
-	for _, part := range saved.GetParts() {
-		if len(part.GetFingerprint()) != FingerprintSize {
-			continue
-		}
-		for _, p := range part.GetProcesses() {
-			c.losses.RecordLoss(time.UnixMilli(p.GetLostUnixMillis()), Fingerprint(part.GetFingerprint()), Process{p.GetTarget(), p.GetBornMillis()})
-		}
-	}
+func (c *PartCounter) Load(now time.Time, saved []*wire.PartLoss) {
+	c.losses.Load(now, saved)
 	c.stale = true
 }
 
@@ -150,29 +111,23 @@
 	for _, fp := range parts {
 		c.losses.RecordLoss(now, fp, p)
 	}
-	if len(parts) > 0 {
-		c.changed()
-	}
+	c.stale = c.stale || len(parts) > 0
 }
 
-func (c *PartCounter) changed() { c.stale, c.unsaved = true, true }
-
 // RecordAnnouncement records an announcement by a process, as LossCounter does.
 func (c *PartCounter) RecordAnnouncement(now time.Time, p Process) {
 	if len(c.losses.byProcess[p]) == 0 {
 		return
 	}
 	c.losses.RecordAnnouncement(now, p)
-	c.changed()
+	c.stale = true
 }
 
 // RecordCompletion records that a target has begun an answer on the part. It reports whether
 // targets had been lost with the part.
 func (c *PartCounter) RecordCompletion(fp Fingerprint) (known bool) {
-	if _, known = c.losses.byFingerprint[fp]; known {
-		c.losses.RecordCompletion(fp)
-		c.changed()
-	}
+	known = c.losses.RecordCompletion(fp)
+	c.stale = c.stale || known
 	return known
 }
 
@@ -234,7 +189,7 @@
 	return false
 }
 
-func containsAll(all, some map[Process]time.Time) bool {
+func containsAll(all, some map[Process]loss) bool {
 	for p := range some {
 		if _, ok := all[p]; !ok {
 			return false
--- a/lib/poison/parts_test.go
+++ b/lib/poison/parts_test.go
@@ -268,32 +268,29 @@
 func TestSavedPartsOutliveTheLeader(t *testing.T) {
 	var c PartCounter
 	now := time.Unix(1_800_000_000, 0)
-	_, ok := c.Save()
-	assert.Assert(t, !ok)
+	assert.Assert(t, !c.Unsaved())
 	for i := range 3 {
 		c.RecordLoss(now.Add(time.Duration(i)*time.Second), []Fingerprint{part(1)}, Process{fmt.Sprint("t", i), 1})
 	}
-	for i := range 2 * maxSavedParts {
+	for i := range 2 * maxSavedLosses {
 		c.RecordLoss(now, []Fingerprint{part(1000 + i)}, Process{"t9", 1})
 	}
-	saved, ok := c.Save()
-	assert.Assert(t, ok)
-	assert.Equal(t, len(saved.GetParts()), maxSavedParts)
-	_, ok = c.Save()
-	assert.Assert(t, !ok)
+	assert.Assert(t, c.Unsaved())
+	saved := c.Save()
+	assert.Equal(t, len(saved), maxSavedLosses)
+	assert.Assert(t, !c.Unsaved())
 
 	var next PartCounter
-	next.Load(saved)
 	later := now.Add(10 * time.Second)
+	next.Load(later, saved)
+	assert.Assert(t, !next.Unsaved())
 	assert.DeepEqual(t, next.Suspects(later)[0].GetFingerprint(), c.Suspects(later)[0].GetFingerprint())
 	assert.Equal(t, next.Suspects(later)[0].GetVerdict(), wire.Verdict_VERDICT_BLOCKED)
 	assert.Assert(t, next.RecordCompletion(part(1)))
-	saved, ok = next.Save()
-	assert.Assert(t, ok)
-	assert.Equal(t, len(saved.GetParts()), maxSavedParts-1)
+	assert.Assert(t, next.Unsaved())
+	assert.Equal(t, len(next.Save()), maxSavedLosses-1)
 	next.SaveAgain()
-	_, ok = next.Save()
-	assert.Assert(t, ok)
+	assert.Assert(t, next.Unsaved())
 	assert.Equal(t, len((&PartCounter{}).Suspects(now)), 0)
 	expired := now.Add(lossRetention + 10*time.Second)
 	assert.Equal(t, len(c.Suspects(expired)), 0)
