Bound the memory that bodies take together

A faulty replica that answers without end made an entry instance keep up to 16 MiB of each answer: 48 such requests at the same time took 702 to 1,033 MB, where the smallest machine has 184 MB, so that the process would be killed with all other requests in it.

Cause: each body had a bound, and all together had none; growing the buffer doubled it. Ruled out: readers that keep bytes without any bound (heads and events took 49 to 104 MB).

Answers are held until whole as far as a common budget of 16 MiB allows, and passed on as they arrive beyond it; heads and events have smaller bounds. The same for bodies of requests (24 MiB; a request that finds no room is refused as not run), and for the text of a model on the product's own path, which had no bound.

--- a/agent/conn.go
+++ b/agent/conn.go
@@ -14,6 +14,7 @@
 	dialTimeout         = time.Second
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConnsPerHost = 128
+	maxHeaderBytes      = 32 << 10
 )
 
 // errRedial is returned by a single-connection transport instead of dialing
@@ -46,6 +47,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+		// A faulty target may send a header without end.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -14,7 +14,7 @@
 
 const (
 	// maxResumeText is the maximum size of the text kept to resume a response on
-	// another target.
+	// another target, and of the text of a response that is not streamed.
 	maxResumeText = 1 << 20
 	// maxBufferedPlain is the maximum size of a plain service's response that is
 	// buffered. A buffered response can be retried and carries its outcome as a header
@@ -22,6 +22,9 @@
 	maxBufferedPlain = 64 << 10
 )
 
+// errTextTooLong means that a target sends more text than a response that is not streamed may have.
+var errTextTooLong = fmt.Errorf("the text exceeds %d bytes", maxResumeText)
+
 // responseWriter writes the response of one request to its caller.
 type responseWriter struct {
 	w            http.ResponseWriter
@@ -75,8 +78,10 @@
 	}
 	rw.tokens = tokens
 	if !rw.c.eventStream {
+		if len(rw.buffered)+len(c.GetData()) > maxResumeText {
+			return errTextTooLong
+		}
 		rw.buffered = append(rw.buffered, c.GetData()...)
-		rw.textDropped = len(rw.buffered) > maxResumeText
 		return nil
 	}
 	if !rw.textDropped {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -341,7 +341,14 @@
 		return false, false, nil
 	case ev.chunk != nil:
 		d.selectWinner(pair, at, now)
-		if err := d.writeChunk(at, ev.chunk); err != nil {
+		err := d.writeChunk(at, ev.chunk)
+		switch {
+		case errors.Is(err, errTextTooLong):
+			at.cancel()
+			d.finishAttempt(at, now)
+			d.s.routing.penalize(at.target, now)
+			return true, false, unknownOutcome("answerTooLong", "the answer is too long to be sent in one piece; ask for an event stream")
+		case err != nil:
 			return true, false, d.callerGone().withCause(err)
 		}
 		return false, false, nil
--- a/entry/gate/answer.go
+++ b/entry/gate/answer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,7 +14,7 @@
 )
 
 const (
-	// maxResponseBytes is the maximum size of a buffered response body, in bytes.
+	// maxResponseBytes is the maximum size of a response body that is no stream, in bytes.
 	maxResponseBytes = 16 << 20
 	lastEventHeader  = "Last-Event-Id"
 )
@@ -21,27 +22,60 @@
 var (
 	errMissingSeal = errors.New("success without the seal of a target")
 	errServerError = errors.New("target answered with a failure of its own")
+	errTooLong     = fmt.Errorf("answer exceeds %d bytes", maxResponseBytes)
 )
 
 // forwardBuffered buffers the response and forwards it. Nothing is sent to the client
-// until the body has been read to its end, so that the request can still be resent.
+// until the body has been read to its end, so that the request can still be resent, unless the
+// body is too long to be held.
 func (c *call) forwardBuffered(answer *relay.Response, onFirstOutput func()) error {
-	if isSuccess(answer.Status) && answer.Header.Get(c.gateway.headers.Seal) == "" {
+	switch {
+	case isSuccess(answer.Status) && answer.Header.Get(c.gateway.headers.Seal) == "":
 		return errMissingSeal
+	case answer.Length > maxResponseBytes:
+		return errTooLong
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
+	buf := &bodyBuffer{budget: &c.gateway.answerBudget}
+	defer buf.release()
+	whole, err := buf.fill(answer.Body, answer.Length, maxAnswerBuffer)
+	if err != nil {
 		return fmt.Errorf("read answer: %w", err)
-	case len(body) > maxResponseBytes:
-		return fmt.Errorf("answer exceeds %d bytes", maxResponseBytes)
 	}
 	onFirstOutput()
 	if answer.Status >= http.StatusInternalServerError && c.route.Repeatable() && c.incompleteAttempts+1 < c.route.MaxAttempts {
-		c.fallback = &bufferedResponse{answer: answer, body: body}
+		if whole && len(buf.data) <= freeBufferBytes {
+			c.fallback = &bufferedResponse{answer: answer, body: slices.Clone(buf.data)}
+		}
 		return errServerError
 	}
-	c.writeBuffered(answer, body)
+	if !whole {
+		return c.passOn(answer, buf)
+	}
+	c.writeBuffered(answer, buf.data)
+	return nil
+}
+
+// passOn forwards a response as it arrives; begun holds its beginning. The request can't be resent
+// then, and the connection to the client is aborted if the response is not complete.
+func (c *call) passOn(answer *relay.Response, begun *bodyBuffer) error {
+	c.copyHeader(answer)
+	if answer.Length >= 0 && c.r.Method != http.MethodHead {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	c.w.WriteHeader(answer.Status)
+	c.headerSent, c.passedOn = true, true
+	left := int64(maxResponseBytes - len(begun.data))
+	if _, err := c.w.Write(begun.data); err != nil {
+		return fmt.Errorf("write to client: %w", err)
+	}
+	begun.release()
+	n, err := io.Copy(c.w, io.LimitReader(answer.Body, left+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("pass on answer: %w", err)
+	case n > left:
+		return errTooLong
+	}
 	return nil
 }
 
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -122,7 +122,7 @@
 	switch {
 	case c.isSuspect():
 		reason = "targets are lost with this request"
-	case !c.route.Repeatable() || c.incompleteAttempts >= max(c.route.MaxAttempts, 1):
+	case c.passedOn || !c.route.Repeatable() || c.incompleteAttempts >= max(c.route.MaxAttempts, 1):
 		reason = "answer incomplete"
 	case c.mayHaveCrashed(err):
 		reason = "the target was lost, perhaps by this request"
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -75,6 +75,9 @@
 	controlConns *link.Pool
 	targetConns  *relay.Pool
 
+	// answerBudget and requestBudget bound the memory for bodies.
+	answerBudget, requestBudget byteBudget
+
 	// index is the active configuration; nil until the first one is received.
 	index atomic.Pointer[site.Index]
 	// contact is the last contact with control, which limits the age of index. tableContact
@@ -159,6 +162,8 @@
 		controlConns: link.NewPool(), reportNow: make(chan struct{}, 1), firstConfig: make(chan struct{}), fleet: newFleetTable(),
 		tableChanged: make(chan struct{}), usedAdapters: make(map[string]map[string]bool),
 	}
+	g.answerBudget.limit.Store(answerBudgetBytes)
+	g.setRequestBudget(defaultMaxBodyBytes)
 	WithDrainBound(defaultDrainBound)(g)
 	for _, opt := range opts {
 		opt(g)
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -85,6 +85,11 @@
 	counted bool
 	// headerSent is true once the response header was written to the client.
 	headerSent bool
+	// passedOn is true once the beginning of a response that can't be resumed was written to the
+	// client.
+	passedOn bool
+	// body holds the body of the request.
+	body bodyBuffer
 	// lastEvent is the id of the last event forwarded; it is valid if hasEvent is true.
 	lastEvent uint64
 	hasEvent  bool
@@ -136,6 +141,8 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	c := &call{gateway: g, w: w, r: r, arrivedAt: time.Now(), tried: make(map[string]bool)}
+	c.body.budget = &g.requestBudget
+	defer c.body.release()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -242,19 +249,22 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(limit)))
+	// The buffer has room for one byte more than the limit, to read the end.
+	whole, err := c.body.fill(http.MaxBytesReader(c.w, c.r.Body, int64(limit)), c.r.ContentLength, limit+1)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return c.refuseByConfig(http.StatusRequestEntityTooLarge, fmt.Sprintf("body exceeds %d bytes", limit))
 	case err != nil:
 		return &failure{status: http.StatusBadRequest, reason: fmt.Sprintf("read body: %v", err)}
+	case !whole:
+		return &failure{status: http.StatusServiceUnavailable, reason: "too many long bodies at the same time", retryAfter: defaultRetryAfter}
 	}
 	hasBody := c.r.ContentLength != 0 || c.r.Method == http.MethodPost || c.r.Method == http.MethodPut ||
 		c.r.Method == http.MethodPatch
 	c.outbound = &relay.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.forwardedHeader(),
-		Body: body, HasBody: hasBody, IDHeader: c.gateway.headers.RequestID, ID: c.id,
+		Body: c.body.data, HasBody: hasBody, IDHeader: c.gateway.headers.RequestID, ID: c.id,
 		BeforeSend: c.beforeSend,
 	}
 	c.service = c.index.Service(c.route.Pick(rand.Float64(), c.hasNoReadyTarget))
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -159,6 +159,7 @@
 		return
 	}
 	index := site.NewIndex(cfg)
+	g.setRequestBudget(cfg.Limits.BodyBytes)
 	g.index.Store(index)
 	g.mu.Lock()
 	g.budgets.Retain(time.Now(), func(service string) bool { return index.Service(service) != nil })
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"bulrushpath.example/lib/wire"
@@ -156,6 +157,30 @@
 	}
 }
 
+// Guards against an answer without end that is kept until the process runs out of memory.
+func TestEndlessTextIsCutOff(t *testing.T) {
+	env := newTestEnv(t, 1)
+	stopped := make(chan struct{})
+	text := strings.Repeat("x", 64<<10)
+	env.setRun(func(req *wire.RunRequest, send func(*wire.RunEvent) error) error {
+		defer close(stopped)
+		evs := events(req, text)
+		err := send(evs[0])
+		for i := uint32(0); err == nil; i++ {
+			c := proto.CloneOf(evs[1])
+			c.Chunk.Index, c.Chunk.Token = i, i
+			err = send(c)
+		}
+		return err
+	})
+	got := env.generate("a joint")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.outcome(), outcomeUnknown)
+	assert.Assert(t, strings.Contains(got.body, "answerTooLong"), got.body[:min(len(got.body), 300)])
+	<-stopped
+}
+
 // Guards against hedges that do not help, exceed their budget, or run a non-idempotent
 // request twice.
 func TestHedge(t *testing.T) {
--- a/lib/relay/event.go
+++ b/lib/relay/event.go
@@ -10,7 +10,7 @@
 )
 
 // maxEventSize is the maximum size of an event in bytes.
-const maxEventSize = 1 << 20
+const maxEventSize = 64 << 10
 
 // ErrTruncated means that a stream ended within an event.
 var ErrTruncated = errors.New("stream ended within an event")
--- a/lib/relay/exchange.go
+++ b/lib/relay/exchange.go
@@ -19,10 +19,14 @@
 // maxHeaderBytes bounds the header of a response, and maxSkippedBytes a late response to an
 // earlier request. A target in trouble may send bytes without end.
 const (
-	maxHeaderBytes  = 256 << 10
+	maxHeaderBytes  = 32 << 10
 	maxSkippedBytes = 16 << 20
 )
 
+// maxJoinedBody is the size up to which a body is copied behind the header of its request, so that
+// both leave in one write.
+const maxJoinedBody = 16 << 10
+
 // Request is a request as it is sent to a target.
 type Request struct {
 	Method string
@@ -107,8 +111,8 @@
 		}
 		return nil, &Error{Sent: sent, Reused: c.reused, Err: err}
 	}
-	if n, err := c.Write(r.encode()); err != nil {
-		return fail(n > 0, fmt.Errorf("send request: %w", err))
+	if sent, err := r.write(c); err != nil {
+		return fail(sent, fmt.Errorf("send request: %w", err))
 	}
 	res, err := c.readHeader(r) //nolint:bodyclose // Response.Body closes it.
 	if err != nil {
@@ -125,17 +129,30 @@
 	}, nil
 }
 
-// encode returns the request in the HTTP/1.1 wire format.
-func (r *Request) encode() []byte {
+// write writes the request in the HTTP/1.1 wire format and reports whether any byte was written.
+func (r *Request) write(w io.Writer) (sent bool, err error) {
+	joined := len(r.Body) <= maxJoinedBody
+	head := r.encodeHeader()
+	if joined {
+		head = append(head, r.Body...)
+	}
+	n, err := w.Write(head)
+	if err == nil && !joined {
+		_, err = w.Write(r.Body)
+	}
+	return n > 0, err
+}
+
+// encodeHeader returns the header with room for a short body.
+func (r *Request) encodeHeader() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), maxJoinedBody))
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b)
 	if r.HasBody {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
