Pass on only events of the run in a stream

When a stream had broken off and the next target answered the resumed request with the text of an error under status 200, in 12 of 20 forms tried the client found that text, or a whole answer with its head, in its stream, or the stream ended as if it were complete. The same happened without a resume where a target wrote a failure into the body of its stream (4 of 4 forms).

Cause: any lines up to an empty one were taken for an event, events without an id were not checked, and the end of a connection was the end of the run. Ruled out: the status of the answer (failures with a status of their own did not pass), and bytes of another exchange.

Lines must be fields of an event, events must have the next id, and a resumed answer must be a stream; anything else ends the attempt, which is resumed elsewhere or aborts the connection. An answer to such a request that is no stream is passed on whole.

--- a/entry/gate/answer.go
+++ b/entry/gate/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"bulrushpath.example/lib/relay"
@@ -22,6 +23,8 @@
 var (
 	errMissingSeal = errors.New("success without the seal of a target")
 	errServerError = errors.New("target answered with a failure of its own")
+	errNoID        = errors.New("event without an id")
+	errNoEvents    = errors.New("resumed stream has no events and no marked end")
 	errTooLong     = fmt.Errorf("answer exceeds %d bytes", maxResponseBytes)
 )
 
@@ -112,14 +115,24 @@
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
+// isEventStream reports whether the body of an answer is a stream of events. Targets may leave out
+// the type of their content.
+func isEventStream(answer *relay.Response) bool {
+	contentType := answer.Header.Get("Content-Type")
+	kind, _, _ := strings.Cut(contentType, ";")
+	return answer.Status == http.StatusOK && (contentType == "" || strings.EqualFold(strings.TrimSpace(kind), "text/event-stream"))
+}
+
 // forwardStream forwards complete events as they arrive. If an earlier attempt broke
-// off, it resumes after the last event that the client has received.
+// off, it resumes after the last event that the client has received. Text that is no event of
+// the run ends the attempt as incomplete.
 func (c *call) forwardStream(t *steer.Target, answer *relay.Response, onFirstOutput func()) error {
 	if answer.Header.Get(c.gateway.headers.Seal) == "" {
 		return errMissingSeal
 	}
 	control := http.NewResponseController(c.w)
-	events := relay.NewEventReader(answer.Body)
+	events := relay.NewEventReader(answer.Body, c.gateway.headers.StreamFields...)
+	resumed, hasEvents := c.headerSent, false
 	var last time.Time
 	for {
 		ev, err := events.Next()
@@ -129,6 +142,8 @@
 		}
 		last = now
 		switch {
+		case errors.Is(err, io.EOF) && resumed && !hasEvents && !answer.Framed:
+			return errNoEvents
 		case errors.Is(err, io.EOF):
 			onFirstOutput()
 			if !c.headerSent {
@@ -137,8 +152,11 @@
 			return nil
 		case err != nil:
 			return fmt.Errorf("read stream: %w", err)
+		case !ev.HasID && !ev.Blank:
+			return errNoID
 		}
 		onFirstOutput()
+		hasEvents = hasEvents || ev.HasID
 		if c.hasEvent && ev.HasID {
 			if ev.ID <= c.lastEvent {
 				continue
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -238,12 +238,12 @@
 		}
 	}
 	switch {
-	case c.route.Kind == site.Stream && answer.Status == http.StatusOK:
+	case c.route.Kind == site.Stream && isEventStream(answer):
 		return c.forwardStream(choice.Target, answer, onFirstOutput)
 	case c.headerSent:
 		// The client has received the beginning of a stream, which a response with
-		// another status cannot continue.
-		return fmt.Errorf("resumed stream answered with status %d", answer.Status)
+		// another status or type cannot continue.
+		return fmt.Errorf("resumed stream answered with status %d, type %q", answer.Status, answer.Header.Get("Content-Type"))
 	}
 	return c.forwardBuffered(answer, onFirstOutput)
 }
--- a/entry/gate/fixture_test.go
+++ b/entry/gate/fixture_test.go
@@ -29,7 +29,8 @@
 var testHeaders = Headers{
 	RequestID: "T-Id", Deadline: "T-Deadline", Target: "T-Target", NotRun: "T-Not-Run", Seal: "T-Seal",
 	Priority: "T-Priority", Instance: "T-Instance", Limit: "T-Limit", Leaving: "T-Leaving",
-	Reserved: []string{"T-Target", "T-Hold"},
+	StreamFields: []string{"t-version"},
+	Reserved:     []string{"T-Target", "T-Hold"},
 }
 
 // fakeControl replies to reports with a fixed target table and a configuration.
@@ -208,6 +209,16 @@
 	}
 }
 
+// setMaxAttempts activates a configuration with the given number of attempts on all routes.
+func (fx *fixture) setMaxAttempts(n int) {
+	cfg := *fx.gateway.index.Load().Config
+	cfg.Version, cfg.Routes = cfg.Version+1, routes()
+	for i := range cfg.Routes {
+		cfg.Routes[i].MaxAttempts = n
+	}
+	fx.gateway.index.Store(site.NewIndex(&cfg))
+}
+
 // newFixture starts a Gateway with one target per handler. All targets hold model m.
 func newFixture(t testT, service string, handlers ...http.HandlerFunc) *fixture {
 	t.Helper()
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -57,6 +57,8 @@
 	Instance string
 	// Seal is set in responses that were produced by a target.
 	Seal string
+	// StreamFields lists the fields that events may have beside those of text/event-stream.
+	StreamFields []string
 	// Reserved lists headers that clients may not set; they are removed from requests.
 	Reserved []string
 }
--- a/lib/relay/event.go
+++ b/lib/relay/event.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 )
 
@@ -15,6 +16,9 @@
 // ErrTruncated means that a stream ended within an event.
 var ErrTruncated = errors.New("stream ended within an event")
 
+// ErrNotEvent means that a stream has text that is no event: a line without the name of a field.
+var ErrNotEvent = errors.New("text in a stream that is no event")
+
 var errEventSize = fmt.Errorf("event has more than %d bytes", maxEventSize)
 
 // Event is a complete event of a text/event-stream.
@@ -24,22 +28,27 @@
 	// ID is the number in the id field; HasID is false if there is none.
 	ID    uint64
 	HasID bool
+	// Blank reports whether the event holds only comments and the reconnection time.
+	Blank bool
 }
 
 // EventReader splits a stream into complete events.
 type EventReader struct {
-	r *bufio.Reader
+	r      *bufio.Reader
+	fields []string
 }
 
-// NewEventReader returns a reader for the events of r.
-func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, 4<<10)}
+// NewEventReader returns a reader for the events of r. fields lists the names of fields that
+// events may have beside those of text/event-stream.
+func NewEventReader(r io.Reader, fields ...string) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, 4<<10), fields: fields}
 }
 
-// Next returns the next complete event. It returns io.EOF at the end of the stream and
-// ErrTruncated if the stream ends within an event.
+// Next returns the next complete event. It returns io.EOF at the end of the stream,
+// ErrTruncated if the stream ends within an event, and ErrNotEvent for other text. A target
+// that has failed may send the text of an error, or a whole answer, in place of an event.
 func (e *EventReader) Next() (Event, error) {
-	var ev Event
+	ev := Event{Blank: true}
 	hasField := false
 	for {
 		line, err := e.r.ReadSlice('\n')
@@ -68,13 +77,31 @@
 			return ev, nil
 		}
 		hasField = true
-		if v, ok := bytes.CutPrefix(field, []byte("id:")); ok {
-			if n, err := strconv.ParseUint(string(bytes.TrimSpace(v)), 10, 64); err == nil {
-				ev.ID, ev.HasID = n, true
-			}
+		if !e.addField(&ev, field) {
+			return Event{}, ErrNotEvent
 		}
 		if len(ev.Raw) > maxEventSize {
 			return Event{}, errEventSize
 		}
 	}
 }
+
+// addField records what a line of the event says, and returns false if it is no field.
+func (e *EventReader) addField(ev *Event, line []byte) bool {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "retry":
+		return true
+	case "id":
+		if n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64); err == nil {
+			ev.ID, ev.HasID = n, true
+		}
+	case "data", "event":
+	default:
+		if !slices.Contains(e.fields, string(name)) {
+			return false
+		}
+	}
+	ev.Blank = false
+	return true
+}
