Answer every request before a planned stop ends

In a planned stop requests ended with their connections and without an answer when the grace period was over, among them such that may not be repeated: at a slow target, and with a body that had not arrived. A request that might last longer than the process was taken and passed on at any time until then.

Cause: the instance did not know until when it drains; only new streams were refused, and the end closed the connections. Ruled out: connections closed between their acceptance and the first request.

Drain is told the end. A request that may last longer, also one whose body has just arrived or that waits, is refused at once as not run; shortly before the end the rest get 503 if they have certainly not run, and 502 otherwise. Streams that have begun are cut as before.

--- a/entry/gate/choose.go
+++ b/entry/gate/choose.go
@@ -39,6 +39,9 @@
 		}
 	}()
 	for {
+		if f := c.checkDraining(); f != nil {
+			return steer.Choice{}, f
+		}
 		now := time.Now()
 		g.mu.Lock()
 		choice, until, f := c.selectTarget(now)
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -147,6 +147,9 @@
 }
 
 func (c *call) deadlineFailure() *failure {
+	if c.gateway.stopped.Err() != nil {
+		return c.stopFailure()
+	}
 	if c.incompleteAttempts > 0 || c.headerSent || c.attempts > 0 {
 		return &failure{status: http.StatusGatewayTimeout, reason: "deadline passed"}
 	}
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -96,9 +96,14 @@
 	reportInterval atomic.Int64
 	// warm is true if the control leader has had time to receive an announcement from
 	// every target.
-	warm     atomic.Bool
-	draining atomic.Bool
-	active   atomic.Int64
+	warm   atomic.Bool
+	active atomic.Int64
+	// drainEnd is set once the instance is draining: the time at which the requests still in
+	// progress are ended.
+	drainEnd atomic.Pointer[time.Time]
+	// stopped is done when the requests still in progress have to end; stopRequests ends it.
+	stopped      context.Context
+	stopRequests context.CancelFunc
 
 	// firstConfig is closed when the first configuration is active.
 	firstConfig chan struct{}
@@ -166,6 +171,7 @@
 	}
 	g.answerBudget.limit.Store(answerBudgetBytes)
 	g.setRequestBudget(defaultMaxBodyBytes)
+	g.stopped, g.stopRequests = context.WithCancel(context.Background())
 	WithDrainBound(defaultDrainBound)(g)
 	for _, opt := range opts {
 		opt(g)
@@ -197,15 +203,12 @@
 	g.reportLeaving()
 }
 
-// Drain makes the instance unready. It still serves requests that arrive, except
-// streams.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
 
 // Close waits for the health checks in progress and closes all idle connections.
 func (g *Gateway) Close() error {
+	g.stopRequests()
 	g.checks.Wait()
 	_ = g.targetConns.Close()
 	return g.controlConns.Close()
@@ -215,7 +218,7 @@
 // instance, or an empty string if it is ready.
 func (g *Gateway) Unready() string {
 	switch {
-	case g.draining.Load():
+	case g.drainEnd.Load() != nil:
 		return "draining"
 	case g.index.Load() == nil:
 		return "no configuration yet"
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -291,7 +291,7 @@
 	assert.Equal(t, res.StatusCode, http.StatusOK)
 	assert.Equal(t, fx.gateway.Unready(), "")
 
-	fx.gateway.Drain()
+	fx.gateway.Drain(time.Now().Add(time.Minute))
 	assert.Equal(t, fx.gateway.Unready(), "draining")
 	res, _, err = fx.do(t.Context(), http.MethodPost, "/once/1", "x", nil)
 	assert.NilError(t, err)
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -143,7 +143,7 @@
 	c := &call{gateway: g, w: w, r: r, arrivedAt: time.Now(), tried: make(map[string]bool)}
 	c.body.budget = &g.requestBudget
 	defer c.body.release()
-	if g.draining.Load() {
+	if g.drainEnd.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	f := c.prepare()
@@ -151,7 +151,7 @@
 		f = c.checkBlocked()
 	}
 	if f == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		ctx, cancel := g.requestContext(r.Context(), c.deadline)
 		defer cancel()
 		f = c.dispatch(ctx)
 	}
@@ -181,13 +181,12 @@
 	if limit := c.index.Config.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
 		return c.refuseByConfig(http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("header exceeds %d bytes", limit))
 	}
-	if c.route.Kind == site.Stream && c.gateway.draining.Load() {
-		// A stream may take longer than the time until this process is killed.
-		return &failure{status: http.StatusServiceUnavailable, reason: "shutting down", retryAfter: drainRetryAfter}
-	}
 	if f := c.parseDeadline(); f != nil {
 		return f
 	}
+	if f := c.checkDraining(); f != nil {
+		return f
+	}
 	var err error
 	if c.prompt, err = c.gateway.describePrompt(c.r.Header); err != nil {
 		return &failure{status: http.StatusBadRequest, reason: err.Error()}
@@ -249,12 +248,13 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	// The buffer has room for one byte more than the limit, to read the end.
-	whole, err := c.body.fill(http.MaxBytesReader(c.w, c.r.Body, int64(limit)), c.r.ContentLength, limit+1)
+	whole, err := c.readBody(limit)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return c.refuseByConfig(http.StatusRequestEntityTooLarge, fmt.Sprintf("body exceeds %d bytes", limit))
+	case err != nil && c.gateway.stopped.Err() != nil:
+		return c.stopFailure()
 	case err != nil:
 		return &failure{status: http.StatusBadRequest, reason: fmt.Sprintf("read body: %v", err)}
 	case !whole:
