Count no announcement from before a loss as proof of life

Cause: an announcement that arrived more than a second after the loss took the loss back, also one sent before the crash, and also one that the table found to be late or of an ended process. Ruled out: losses that are not reported (the leader logs requestLost for each).

Only an announcement that the table takes counts, and only 6 s after the leader learned of the loss, which is how late announcements may be; no clock of another machine decides. A process that lives is cleared some seconds later than before.

Two tests had the fault written down: TestCountSparesOrdinaryRequests took an announcement 2 s after the loss for proof, TestLostRequestsAreCountedTogether one after 1.1 s. Both wait 6 s now; the latter also checks that the early one and a late copy prove nothing.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -451,6 +451,11 @@
 	assert.Equal(t, report("e3", ""), wire.Verdict_VERDICT_BLOCKED)
 	time.Sleep(1100 * time.Millisecond)
 	announce(t, f, e, 2)
+	assert.Equal(t, report("e3", ""), wire.Verdict_VERDICT_BLOCKED, "sent before the loss, perhaps")
+	time.Sleep(poison.AliveDelay - time.Second)
+	announce(t, f, e, 2)
+	assert.Equal(t, report("e3", ""), wire.Verdict_VERDICT_BLOCKED, "a late copy")
+	announce(t, f, e, 3)
 	assert.Equal(t, report("e3", ""), wire.Verdict_VERDICT_SUSPECT, "t1 is alive")
 	assert.Equal(t, report("e3", "", fp), wire.Verdict_VERDICT_CLEAR, "a target completed it")
 }
--- a/control/leave.go
+++ b/control/leave.go
@@ -27,14 +27,17 @@
 		return err
 	}
 	f.metrics.announcements.Inc(1)
-	process := poison.Process{Target: a.ID, BornMillis: a.Born.UnixMilli()}
-	f.lostRequests.RecordAnnouncement(now, process)
-	f.lostParts.RecordAnnouncement(now, process)
 	before, known := f.table.Lookup(a.ID)
 	if known && before.Born.Before(a.Born) {
 		delete(f.engines, a.ID)
 	}
 	outcome, changed := f.table.Announce(now, a)
+	if outcome == fleet.Current {
+		// Others were sent before: by an ended process, or by one that has been heard of since.
+		process := poison.Process{Target: a.ID, BornMillis: a.Born.UnixMilli()}
+		f.lostRequests.RecordAnnouncement(now, process)
+		f.lostParts.RecordAnnouncement(now, process)
+	}
 	if outcome == fleet.Current && a.HasModels {
 		changed = f.observe(now, a, e) || changed
 	}
--- a/lib/poison/count.go
+++ b/lib/poison/count.go
@@ -17,9 +17,11 @@
 	lossRetention = 10 * time.Minute
 	// maxCountedRequests bounds the number of requests that are kept.
 	maxCountedRequests = 1024
-	// aliveDelay is the minimum time between a reported loss and an announcement
-	// by the same process for the announcement to prove that it has not crashed.
-	aliveDelay = time.Second
+	// AliveDelay is the minimum time between a reported loss and an announcement
+	// by the same process for the announcement to prove that it has not crashed:
+	// one that arrives sooner may have been sent before, since announcements may be
+	// seconds late.
+	AliveDelay = 6 * time.Second
 )
 
 // Process is one process of a target.
@@ -126,12 +128,12 @@
 }
 
 // RecordAnnouncement records an announcement by a process. A process that announces
-// itself later than aliveDelay after a loss has not crashed; only its response was
+// itself later than AliveDelay after a loss has not crashed; only its response was
 // incomplete, so that loss no longer counts.
 func (c *LossCounter) RecordAnnouncement(now time.Time, p Process) {
 	for _, fp := range slices.Clone(c.byProcess[p]) {
 		x := c.byFingerprint[fp]
-		if now.Sub(x.processes[p].knownAt) <= aliveDelay {
+		if now.Sub(x.processes[p].knownAt) <= AliveDelay {
 			continue
 		}
 		c.unlink(fp, p)
--- a/lib/poison/count_test.go
+++ b/lib/poison/count_test.go
@@ -44,7 +44,7 @@
 	for i := range 5 {
 		p := Process{fmt.Sprint("t", i), 1}
 		c.RecordLoss(now, fp, p)
-		now = now.Add(2 * time.Second)
+		now = now.Add(AliveDelay + time.Second)
 		c.RecordAnnouncement(now, p)
 	}
 	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_CLEAR)
@@ -57,6 +57,25 @@
 	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_CLEAR)
 }
 
+// Guards against announcements from before a crash that arrive after it and take the loss back, so
+// that a request which crashes targets is never blocked (review/2); and against a loss that stays
+// although the process lives.
+func TestLateAnnouncementsProveNothing(t *testing.T) {
+	var c LossCounter
+	now, fp := time.Unix(1_800_000_000, 0), Fingerprint{1}
+	for i := range blockThreshold {
+		p := Process{fmt.Sprint("t", i), 1}
+		c.RecordLoss(now, fp, p)
+		for late := time.Duration(0); late <= 5*time.Second; late += 500 * time.Millisecond {
+			c.RecordAnnouncement(now.Add(late), p)
+		}
+		now = now.Add(3500 * time.Millisecond)
+	}
+	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_BLOCKED)
+	c.RecordAnnouncement(now.Add(AliveDelay), Process{"t0", 1})
+	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_SUSPECT)
+}
+
 // Guards against memory use that grows with the number of requests.
 func TestCountIsBounded(t *testing.T) {
 	var c LossCounter
@@ -85,11 +104,11 @@
 				c = next
 			}
 			assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_BLOCKED)
-			c.RecordAnnouncement(now.Add(aliveDelay/2), Process{"t0", 1})
+			c.RecordAnnouncement(now.Add(AliveDelay/2), Process{"t0", 1})
 			assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_BLOCKED)
 			assert.Equal(t, verdictOf(&c, now.Add(lossRetention-6*time.Second), fp), wire.Verdict_VERDICT_BLOCKED)
 			assert.Equal(t, verdictOf(&c, now.Add(lossRetention+time.Second), fp), wire.Verdict_VERDICT_CLEAR)
-			c.RecordAnnouncement(now.Add(2*aliveDelay), Process{"t0", 1})
+			c.RecordAnnouncement(now.Add(2*AliveDelay), Process{"t0", 1})
 			assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_SUSPECT, "a process that lives counts no more")
 			assert.Assert(t, c.Unsaved())
 		})
