Count targets that go dark among those lost with a request

Cause: an attempt that the watchdog ends, because its target neither answers nor accepts a connection, was not reported as a loss. Ruled out: losses that are taken back (the leader logged none).

It is reported now, like the end or the reset of a connection; a target that lives takes it back with its announcements. Whether a request is sent once more after a silent target is decided as before.

--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bulrushpath.example/lib/poison"
+	"bulrushpath.example/lib/relay"
 	"bulrushpath.example/lib/wire"
 )
 
@@ -253,9 +254,10 @@
 	return suspicious && c.gateway.checkHealth(c.dest, c.service) != nil
 }
 
-// recordLost reports the request as lost if err looks like a crash of the target process.
+// recordLost reports the request as lost if err looks like a crash of the target process, or if the
+// target has gone dark: its machine may have crashed with it.
 func (c *call) recordLost(err error) {
-	if !looksLikeCrash(err) {
+	if !looksLikeCrash(err) && !errors.Is(err, relay.ErrSilent) {
 		return
 	}
 	fp := c.fingerprint()
