Drop verdicts on requests that the control leader has taken back

A verdict that its own leader does not repeat is dropped; that of a previous leader is kept if the next one never repeats it.

Failed before: TestVerdictIsTakenBack (503 after the verdict was taken back).

--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bulrushpath.example/lib/poison"
 	"bulrushpath.example/lib/wire"
 )
 
@@ -426,6 +427,42 @@
 	assert.Equal(t, send("/once/other"), http.StatusOK)
 }
 
+// Guards against a request that is refused for ten minutes although control has taken its verdict
+// back: its targets have proved alive, or an operator has lifted it. A verdict of the previous
+// leader that the next one does not know is kept.
+func TestVerdictIsTakenBack(t *testing.T) {
+	fx := newFixture(t, "plain", respondSealed(http.StatusOK, "yes"))
+	fp := poison.FingerprintOf("a.example POST /once/x", "/", []byte("body"))
+	send := func() int {
+		res, _, err := fx.do(t.Context(), http.MethodPost, "/once/x", "body", nil)
+		assert.NilError(t, err)
+		return res.StatusCode
+	}
+	update := func(change func(c *fakeControl)) {
+		fx.control.mu.Lock()
+		change(fx.control)
+		fx.control.mu.Unlock()
+		assert.NilError(t, fx.gateway.report(t.Context()))
+	}
+	block := func(c *fakeControl) {
+		for i := range 3 {
+			c.count.RecordLoss(time.Now(), fp, poison.Process{Target: fmt.Sprint("t", i), BornMillis: 1})
+		}
+	}
+	assert.Equal(t, send(), http.StatusOK)
+	update(block)
+	assert.Equal(t, send(), http.StatusServiceUnavailable)
+	update(func(c *fakeControl) { c.count = poison.LossCounter{} })
+	assert.Equal(t, send(), http.StatusOK, "the verdict was taken back")
+
+	update(block)
+	update(func(c *fakeControl) { c.count, c.term = poison.LossCounter{}, 2 })
+	assert.Equal(t, send(), http.StatusServiceUnavailable, "the next leader may not know it")
+	update(block)
+	update(func(c *fakeControl) { c.count = poison.LossCounter{} })
+	assert.Equal(t, send(), http.StatusOK, "the next leader has taken it back")
+}
+
 // Guards against data races between requests, reports and the removal of connections,
 // which crash the process.
 func TestConcurrentRequestsAndReports(t *testing.T) {
--- a/entry/gate/report.go
+++ b/entry/gate/report.go
@@ -185,7 +185,7 @@
 	g.applyNotices(now)
 	g.budgets.SetInstances(now, int(reply.GetEntries()))
 	g.applyCached(reply)
-	if n := g.suspects.apply(now, reply.GetSuspects()); n > 0 {
+	if n := g.suspects.apply(now, reply.GetTerm(), reply.GetSuspects()); n > 0 {
 		cancelled := g.suspects.cancelRunning()
 		g.log.Warn().Str("event", "suspectsChanged").Uint64("term", reply.GetTerm()).Int("news", n).
 			Int("suspects", len(g.suspects.verdicts)).Int("cancelled", cancelled).Msg("")
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -1,11 +1,13 @@
 package gate
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -50,6 +52,8 @@
 type verdict struct {
 	blocked bool
 	until   time.Time
+	// term is that of the control leader that told it.
+	term uint64
 	// group and groupSize are set for a blocked part; see poison.PartCounter.
 	group     uint64
 	groupSize uint32
@@ -58,12 +62,12 @@
 	trial bool
 }
 
-// apply stores the verdicts from a reply and returns how many are new or changed.
-// Verdicts that the reply does not repeat are kept until they expire, because a new
-// leader does not know those of the previous one.
-func (s *suspects) apply(now time.Time, list []*wire.Suspect) (changed int) {
+// apply stores the verdicts from a reply of the leader of a term and returns how many are new or
+// changed. A verdict that its leader does not repeat was taken back. Those of a previous leader
+// are kept until they expire if they are not repeated: it may have ended before they were recorded.
+func (s *suspects) apply(now time.Time, term uint64, list []*wire.Suspect) (changed int) {
 	for fp, v := range s.verdicts {
-		if now.After(v.until) {
+		if now.After(v.until) || v.term == term && !containsRequest(list, fp) {
 			delete(s.verdicts, fp)
 		}
 	}
@@ -82,6 +86,7 @@
 		}
 		fp := poison.Fingerprint(x.GetFingerprint())
 		v := newVerdict(x)
+		v.term = term
 		if old, ok := s.verdicts[fp]; !ok || old.blocked != v.blocked {
 			changed++
 		}
@@ -90,6 +95,11 @@
 	return changed
 }
 
+// containsRequest reports whether the list has a verdict on the request.
+func containsRequest(list []*wire.Suspect, fp poison.Fingerprint) bool {
+	return slices.ContainsFunc(list, func(x *wire.Suspect) bool { return !x.GetPart() && bytes.Equal(x.GetFingerprint(), fp[:]) })
+}
+
 // applyPart stores the verdict on a part of prompts and returns 1 if it is new or changed.
 func (s *suspects) applyPart(before map[poison.Fingerprint]verdict, x *wire.Suspect) (changed int) {
 	if len(x.GetFingerprint()) != poison.FingerprintSize {
