--- a/lib/quorum/log.go
+++ b/lib/quorum/log.go
@@ -81,6 +81,17 @@
 	l.entries = append([]*wire.LogEntry(nil), rest...)
 }
 
+// tail returns how many of the entries up to and including index may stay in memory, the latest ones,
+// if there may be at most maxEntries of them with maxBytes of commands.
+func (l *entryLog) tail(index, maxEntries uint64, maxBytes int64) (n uint64) {
+	for size := int64(0); n < maxEntries && l.base+n < index; n++ {
+		if size += int64(len(l.at(index - n).Command)); size > maxBytes {
+			break
+		}
+	}
+	return n
+}
+
 // reset empties the log; the next entry has the index after the given one.
 func (l *entryLog) reset(index, term uint64, millis int64) {
 	*l = entryLog{base: index, baseTerm: term, baseMillis: millis}
--- a/lib/quorum/node.go
+++ b/lib/quorum/node.go
@@ -158,7 +158,8 @@
 		return n, nil
 	}
 	var err error
-	if n.store, err = store.Open(s.DataDir, n.storeOpts...); err != nil {
+	storeOpts := append([]store.Option{store.WithSegmentBytes(s.segmentBytes())}, n.storeOpts...)
+	if n.store, err = store.Open(s.DataDir, storeOpts...); err != nil {
 		return nil, fmt.Errorf("open store: %w", err)
 	}
 	if err := n.start(); err != nil {
@@ -501,7 +502,8 @@
 	var snap *snapshot
 	if err == nil {
 		// Some entries stay in memory, so that a member slightly behind needs no snapshot.
-		snap, err = c.compact(machine, uint64(n.settings.SnapshotEntries/4))
+		keep := c.log.tail(c.applied, uint64(n.settings.SnapshotEntries/4), n.settings.SnapshotBytes/4)
+		snap, err = c.compact(machine, keep)
 	}
 	// A failed attempt is repeated only after as many entries again.
 	n.snapshotAt, n.sinceSnapshot = c.applied, 0
--- a/lib/quorum/settings.go
+++ b/lib/quorum/settings.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// maxSegmentBytes is the largest size at which a new segment of the log is started.
+const maxSegmentBytes = 4 << 20
+
+// segmentBytes returns the size at which a new segment of the log is started. A snapshot frees whole
+// segments only.
+func (s *Settings) segmentBytes() int64 { return max(min(s.SnapshotBytes/4, maxSegmentBytes), 1) }
+
 // coreConfig returns the settings of the core of a member with the given disk.
 func (s *Settings) coreConfig(diskID []byte, random func(n int64) int64) coreConfig {
 	return coreConfig{
