Refuse model names that are not UTF-8, and count no demand for undeclared models

Names that no configuration declares also grew the reports.

Such a name is answered 400, and a request counts as demand only if its service declares the model.

--- a/entry/gate/choose.go
+++ b/entry/gate/choose.go
@@ -46,7 +46,7 @@
 		g.mu.Lock()
 		choice, until, f := c.selectTarget(now)
 		changed := g.tableChanged
-		if f == nil && choice.Target == nil && !waiting && c.prompt.Model != "" {
+		if f == nil && choice.Target == nil && !waiting && c.declared {
 			waiting = true
 			g.demand.AddWaiting(now, c.prompt.Model, 1)
 		}
@@ -140,7 +140,7 @@
 // no target holds the model, because more than one copy may be needed as soon as
 // possible. The caller holds mu.
 func (c *call) countDemand(now time.Time, choice steer.Choice) {
-	if c.counted || c.prompt.Model == "" {
+	if c.counted || !c.declared {
 		return
 	}
 	c.counted = true
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"bulrushpath.example/lib/relay"
 	"bulrushpath.example/lib/site"
@@ -81,6 +82,9 @@
 	fallback *bufferedResponse
 	// confirming is true while the request waits for the health check of a target.
 	confirming bool
+	// declared reports whether the service declares the model of the request. Only then the request
+	// is demand: control must not be told of names that clients make up.
+	declared bool
 	// counted is true once the request was counted as demand for its model.
 	counted bool
 	// headerSent is true once the response header was written to the client.
@@ -191,6 +195,10 @@
 	if c.prompt, err = c.gateway.describePrompt(c.r.Header); err != nil {
 		return &failure{status: http.StatusBadRequest, reason: err.Error()}
 	}
+	if !utf8.ValidString(c.prompt.Model) || !utf8.ValidString(c.prompt.Adapter) {
+		// Messages to control could not hold it.
+		return &failure{status: http.StatusBadRequest, reason: "the name of the model is not UTF-8"}
+	}
 	return c.prepareOutbound()
 }
 
@@ -273,7 +281,9 @@
 	}
 	if c.service.Engine == nil {
 		c.prompt = steer.Request{}
+		return nil
 	}
+	c.declared = c.service.Engine.Model(c.prompt.Model) != nil
 	return nil
 }
 
