Forget requests with a single loss before those that are blocked

Requests with the fewest lost processes go first now.

Failed before: TestBlockedRequestOutlivesManyLosses (clear after 3,072 others).

--- a/lib/poison/count.go
+++ b/lib/poison/count.go
@@ -109,24 +109,32 @@
 	delete(c.byFingerprint, fp)
 }
 
-// evict removes expired requests. If the limit is still reached, it removes the
-// request whose latest loss is the oldest.
+// evict removes expired requests. If the limit is still reached, it removes one of the
+// requests with the fewest lost processes, the one whose latest loss is the oldest.
 func (c *LossCounter) evict(now time.Time) {
-	var oldest Fingerprint
-	var oldestLoss time.Time
+	var victim Fingerprint
+	var least *losses
 	for fp, x := range c.byFingerprint {
 		switch {
 		case now.Sub(x.lastLoss) > lossRetention:
 			c.remove(fp)
-		case oldestLoss.IsZero() || x.lastLoss.Before(oldestLoss):
-			oldest, oldestLoss = fp, x.lastLoss
+		case least == nil || x.weaker(least):
+			victim, least = fp, x
 		}
 	}
 	if len(c.byFingerprint) >= maxCountedRequests {
-		c.remove(oldest)
+		c.remove(victim)
 	}
 }
 
+// weaker reports whether x says less against its request than other.
+func (x *losses) weaker(other *losses) bool {
+	if n, m := len(x.processes), len(other.processes); n != m {
+		return n < m
+	}
+	return x.lastLoss.Before(other.lastLoss)
+}
+
 // RecordAnnouncement records an announcement by a process. A process that announces
 // itself later than AliveDelay after a loss has not crashed; only its response was
 // incomplete, so that loss no longer counts.
--- a/lib/poison/count_test.go
+++ b/lib/poison/count_test.go
@@ -88,6 +88,22 @@
 	assert.Equal(t, len(c.byProcess), maxCountedRequests)
 }
 
+// Guards against forgetting a blocked request because many others are lost once each, as when targets
+// crash under load.
+func TestBlockedRequestOutlivesManyLosses(t *testing.T) {
+	var c LossCounter
+	now, fp := time.Unix(1_800_000_000, 0), Fingerprint{255, 255}
+	for i := range blockThreshold {
+		c.RecordLoss(now, fp, Process{fmt.Sprint("t", i), 1})
+	}
+	for i := range 3 * maxCountedRequests {
+		now = now.Add(time.Millisecond)
+		c.RecordLoss(now, Fingerprint{byte(i), byte(i >> 8), 1}, Process{"t9", 1})
+	}
+	assert.Equal(t, len(c.byFingerprint), maxCountedRequests)
+	assert.Equal(t, verdictOf(&c, now, fp), wire.Verdict_VERDICT_BLOCKED)
+}
+
 // Guards against a new leader that loses three more targets to a request that the previous leader
 // had blocked (review/4), whatever the clocks of the two say, and against one that believes an
 // announcement from before the loss.
