--- a/control/fleet.go
+++ b/control/fleet.go
@@ -247,9 +247,13 @@
 	}
 	f.controlAddrs = members
 	for _, id := range f.table.Expire(now) {
-		delete(f.engines, id)
 		f.log.Warn().Str("event", "targetSilent").Str("target", id).Dur("lease", fleet.Lease).Msg("")
 	}
+	for id := range f.engines {
+		if _, known := f.table.Lookup(id); !known {
+			delete(f.engines, id)
+		}
+	}
 	for name, e := range f.entries {
 		if now.Sub(e.lastReport) > entryLease {
 			f.removeEntry(name)
--- a/control/leave.go
+++ b/control/leave.go
@@ -28,7 +28,8 @@
 	}
 	f.metrics.announcements.Inc(1)
 	before, known := f.table.Lookup(a.ID)
-	if known && before.Born.Before(a.Born) {
+	if !known || before.Born.Before(a.Born) {
+		// What an earlier process held and was ordered says nothing of this one.
 		delete(f.engines, a.ID)
 	}
 	outcome, changed := f.table.Announce(now, a)
--- a/control/leave_test.go
+++ b/control/leave_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
 	"strings"
 	"testing"
@@ -163,6 +164,37 @@
 	}
 }
 
+// Guards against what a process held and was ordered that is taken for the state of the next process
+// with its id, and against records of targets that have left, or lost their address, which stay until
+// the leader changes.
+func TestEnginesOfEndedProcessesAreDropped(t *testing.T) {
+	e := newFakeEngine()
+	e.models["m0"] = map[string]bool{}
+	f := startFleet(t, e)
+	announce(t, f, e, 1)
+	engines := func() map[string]*engine {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return maps.Clone(f.engines)
+	}
+	former := engines()["t1"]
+	assert.Assert(t, former.Copies["m0"] != nil)
+	next := former.announcement
+	assert.NilError(t, f.Leave(t.Context(), "t1", time.Time{}))
+	next.Born, next.Models = next.Born.Add(time.Second), nil
+	assert.NilError(t, f.Announce(t.Context(), next, EngineState{}))
+	assert.Equal(t, len(engines()["t1"].Copies), 0)
+
+	other := next
+	other.ID, other.Born = "t2", next.Born.Add(time.Second)
+	assert.NilError(t, f.Announce(t.Context(), other, EngineState{}))
+	f.tick(time.Now())
+	assert.Equal(t, len(engines()), 1, "t2 has the address of t1")
+	assert.NilError(t, f.Leave(t.Context(), "t2", other.Born))
+	f.tick(time.Now())
+	assert.Equal(t, len(engines()), 0)
+}
+
 // Guards against an end that names no target and spoils the list for all others.
 func TestEndOfAnOddTarget(t *testing.T) {
 	e := newFakeEngine()
