Answer HEAD requests whatever length their target names, and tell a write in progress from a finished one

From a reading of the whole change: the bound on answers refused a HEAD request whose answer would be longer than 16 MiB, though it has no body (TestHeadOfALongAnswer); a report whose wait for another write of the losses ended at the same time as its own limit could take that for success; and verdicts were looked up in a list.

--- a/control/lost.go
+++ b/control/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -23,6 +24,8 @@
 	reportSaveTimeout = 100 * time.Millisecond
 )
 
+var errSaveInProgress = errors.New("another write of the losses takes too long")
+
 // recordLostRequests records the requests whose targets were lost while they ran them,
 // and returns the requests that are suspect or blocked. The caller holds mu.
 func (f *Fleet) recordLostRequests(now time.Time, req *wire.FleetRequest) []*wire.Suspect {
@@ -98,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, lossSaveTimeout)
 	defer cancel()
 	if !f.savingLosses.tryLock(ctx, lossSaveTimeout) {
-		return ctx.Err()
+		return errSaveInProgress
 	}
 	defer f.savingLosses.unlock()
 	f.mu.Lock()
--- a/entry/gate/answer.go
+++ b/entry/gate/answer.go
@@ -35,7 +35,7 @@
 	switch {
 	case isSuccess(answer.Status) && answer.Header.Get(c.gateway.headers.Seal) == "":
 		return errMissingSeal
-	case answer.Length > maxResponseBytes:
+	case answer.Length > maxResponseBytes && c.r.Method != http.MethodHead:
 		return errTooLong
 	}
 	buf := &bodyBuffer{budget: &c.gateway.answerBudget}
--- a/entry/gate/buffer_test.go
+++ b/entry/gate/buffer_test.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// Guards against the answer to a HEAD request that is refused for a body which it does not have.
+func TestHeadOfALongAnswer(t *testing.T) {
+	fx := newFixture(t, "plain", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Seal", "s")
+		w.Header().Set("Content-Length", fmt.Sprint(2*maxResponseBytes))
+	})
+	res, text, err := fx.do(t.Context(), http.MethodHead, "/safe/x", "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	assert.Equal(t, text, "")
+}
+
 // Guards against an answer that is cut or kept out because others have used up the memory for
 // answers: it is passed on.
 func TestAnswersWithoutBudget(t *testing.T) {
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -1,13 +1,11 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -66,8 +64,9 @@
 // changed. A verdict that its leader does not repeat was taken back. Those of a previous leader
 // are kept until they expire if they are not repeated: it may have ended before they were recorded.
 func (s *suspects) apply(now time.Time, term uint64, list []*wire.Suspect) (changed int) {
+	repeated := requestsIn(list)
 	for fp, v := range s.verdicts {
-		if now.After(v.until) || v.term == term && !containsRequest(list, fp) {
+		if now.After(v.until) || v.term == term && !repeated[fp] {
 			delete(s.verdicts, fp)
 		}
 	}
@@ -95,9 +94,15 @@
 	return changed
 }
 
-// containsRequest reports whether the list has a verdict on the request.
-func containsRequest(list []*wire.Suspect, fp poison.Fingerprint) bool {
-	return slices.ContainsFunc(list, func(x *wire.Suspect) bool { return !x.GetPart() && bytes.Equal(x.GetFingerprint(), fp[:]) })
+// requestsIn returns the requests that the list has verdicts on.
+func requestsIn(list []*wire.Suspect) map[poison.Fingerprint]bool {
+	out := make(map[poison.Fingerprint]bool)
+	for _, x := range list {
+		if !x.GetPart() && len(x.GetFingerprint()) == poison.FingerprintSize {
+			out[poison.Fingerprint(x.GetFingerprint())] = true
+		}
+	}
+	return out
 }
 
 // applyPart stores the verdict on a part of prompts and returns 1 if it is new or changed.
