--- a/entry/gate/buffer_test.go
+++ b/entry/gate/buffer_test.go
@@ -173,8 +173,14 @@
 	wg.Wait()
 	assert.Assert(t, served.Load() >= requestBudgetBytes/(4<<20)/2, "%d served", served.Load())
 	assert.Equal(t, int64(len(fx.targets[0].requests())), served.Load()+1, "a refused request has run")
+	fx.awaitFreeBudget()
+}
+
+// awaitFreeBudget waits until no body of a request is held, which is so shortly after the answer.
+func (fx *fixture) awaitFreeBudget() {
+	fx.t.Helper()
 	for end := time.Now().Add(conditionTimeout); fx.gateway.requestBudget.used.Load() > 0; time.Sleep(time.Millisecond) {
-		assert.Assert(t, time.Now().Before(end), "the room is not free again")
+		assert.Assert(fx.t, time.Now().Before(end), "the room is not free again")
 	}
 }
 
@@ -192,6 +198,7 @@
 		}
 		assert.NilError(t, err)
 		assert.Equal(t, res.StatusCode, c.status)
+		fx.awaitFreeBudget()
 	}
 	received := fx.targets[0].requests()
 	assert.Equal(t, len(received), 1)
