Accept all established connections at a planned stop, also when there is much to do

On a busy machine connections that clients had established, with a request sent, were reset at a planned stop (TestStopAnswersEstablishedConnections, once beside a load of 25 on 8 cores). Cause: a stopping listener accepted for 50 ms in all, whatever the number of connections in the kernel's queue. It accepts until none has come for 50 ms, and for at most a second.

--- a/entry/gate/listen.go
+++ b/entry/gate/listen.go
@@ -20,9 +20,10 @@
 	// timeoutSlack is added to both timeouts: after this process was suspended, a request
 	// that arrived in time must not be treated as late.
 	timeoutSlack = time.Second
-	// acceptRest is how long a stopping Listener accepts the connections that the kernel has
-	// already established.
-	acceptRest = 50 * time.Millisecond
+	// acceptRest is how long a stopping Listener waits for one more of the connections that the
+	// kernel has already established, and maxAcceptRest how long it accepts them in all.
+	acceptRest    = 50 * time.Millisecond
+	maxAcceptRest = time.Second
 	// acceptRetryDelay is the delay after a temporary error from Accept.
 	acceptRetryDelay = 5 * time.Millisecond
 	// maxHeaderBytes is the size limit that net/http enforces while it reads a request
@@ -65,6 +66,8 @@
 	// earlier timeouts; those without connections are removed when a server is added.
 	servers []*timeoutServer
 	closed  bool
+	// acceptEnd is set once the Listener stops: it accepts no connections from then on.
+	acceptEnd time.Time
 }
 
 // timeoutServer is an HTTP server for connections with the same timeouts.
@@ -135,6 +138,7 @@
 		if err != nil {
 			return err
 		}
+		l.awaitNext()
 		x := l.currentServer()
 		if x == nil {
 			_ = conn.Close()
@@ -181,10 +185,30 @@
 // stopAccepting makes Serve stop. Connections that clients have established already are still
 // accepted: their requests may be on the way.
 func (l *Listener) stopAccepting() {
-	if d, ok := l.ln.(interface{ SetDeadline(t time.Time) error }); ok && d.SetDeadline(time.Now().Add(acceptRest)) == nil {
-		return
+	l.mu.Lock()
+	if l.acceptEnd.IsZero() {
+		l.acceptEnd = time.Now().Add(maxAcceptRest)
 	}
-	_ = l.ln.Close()
+	l.mu.Unlock()
+	if !l.awaitNext() {
+		_ = l.ln.Close()
+	}
+}
+
+// awaitNext makes a stopping Listener wait for acceptRest until the next connection. It returns
+// false if that is not possible.
+func (l *Listener) awaitNext() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d, ok := l.ln.(interface{ SetDeadline(t time.Time) error })
+	if l.acceptEnd.IsZero() || !ok {
+		return ok
+	}
+	until := time.Now().Add(acceptRest)
+	if until.After(l.acceptEnd) {
+		until = l.acceptEnd
+	}
+	return d.SetDeadline(until) == nil
 }
 
 // Shutdown stops accepting connections and waits until all requests in progress are
--- a/entry/gate/listen_test.go
+++ b/entry/gate/listen_test.go
@@ -86,7 +86,7 @@
 
 // Accept implements net.Listener.
 func (l busyListener) Accept() (net.Conn, error) {
-	time.Sleep(acceptRest / 40)
+	time.Sleep(acceptRest / 4)
 	return l.TCPListener.Accept()
 }
 
