--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -22,7 +22,8 @@
 }
 
 var scenarios = map[string]scenario{
-	"firstStart": {3, 3, firstStart},
+	"firstStart":  {3, 3, firstStart},
+	"powerLosses": {3, 3, powerLosses},
 }
 
 func main() {
--- a/review/rig2/operator.go
+++ b/review/rig2/operator.go
@@ -16,6 +16,8 @@
 	w      *world
 	client *http.Client
 	next   int
+	// quiet leaves successful calls out of the record.
+	quiet bool
 }
 
 func (w *world) newOperator() *operator {
@@ -46,7 +48,9 @@
 	}
 	defer res.Body.Close()
 	answer, err = io.ReadAll(res.Body)
-	o.w.record.addf("operator: %s %s at %s: %d %.60q", method, path, at, res.StatusCode, answer)
+	if !o.quiet || res.StatusCode != http.StatusOK {
+		o.w.record.addf("operator: %s %s at %s: %d %.60q", method, path, at, res.StatusCode, answer)
+	}
 	return res.StatusCode, answer, err
 }
 
--- /dev/null
+++ b/review/rig2/power.go
@@ -0,0 +1,302 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// longRoutes is the number of routes of the configurations: that of the site file after its
+	// big_config, with 350 more routes, has come 11 times.
+	longRoutes = 11 * 350
+	// catchUp is CatchUpS, after which the next loss may come.
+	catchUp = 4 * time.Second
+	// powerTime bounds the search for the moments of the power losses.
+	powerTime = 75 * time.Second
+	// restarts is the number of times that the platform starts a process that ends by itself.
+	restarts = 4
+)
+
+// shadow is what the platform knows of the disk of one machine: each file of the log, under a
+// second name, so that it can come back if its removal is lost.
+type shadow struct {
+	m    *machine
+	data string
+	keep string
+}
+
+func newShadow(m *machine) (*shadow, error) {
+	s := &shadow{m: m, data: m.dataDir(), keep: filepath.Join(m.w.dir, m.name, "removed")}
+	return s, os.MkdirAll(s.keep, 0o700)
+}
+
+// logs returns the names of the log files, oldest first.
+func (s *shadow) logs() []string {
+	var out []string
+	entries, _ := os.ReadDir(s.data)
+	for _, e := range entries {
+		if strings.HasSuffix(e.Name(), ".log") {
+			out = append(out, e.Name())
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// link gives all log files a second name.
+func (s *shadow) link(names []string) {
+	for _, n := range names {
+		if err := os.Link(filepath.Join(s.data, n), filepath.Join(s.keep, n)); err != nil && !errors.Is(err, os.ErrExist) {
+			s.m.w.record.addf("%s: %v", s.m.name, err)
+		}
+	}
+}
+
+// exists reports whether the machine has the file.
+func (s *shadow) exists(name string) bool {
+	var st syscall.Stat_t
+	return syscall.Stat(filepath.Join(s.data, name), &st) == nil
+}
+
+// removedOf returns which of the names are not left.
+func removedOf(names, left []string) (out []string) {
+	for _, n := range names {
+		if !slices.Contains(left, n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// watch waits until the machine is about to replace its log by a snapshot: two log files are removed
+// and another one, beside the last, is still there. It returns the names of the files before, and
+// those that are left; both are nil if stop was set first.
+func (s *shadow) watch(stop *atomic.Bool) (names, left []string) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	for !stop.Load() {
+		names = s.logs()
+		if len(names) < 4 {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		s.link(names)
+		for range 5000 {
+			if !s.exists(names[1]) {
+				break
+			}
+		}
+		// The files go in the order of their names: the third one is there, so that only two are gone.
+		if !s.exists(names[1]) && s.exists(names[2]) {
+			return names, names[2:]
+		}
+	}
+	return nil, nil
+}
+
+// cut takes the power of the machine, and lets its disk come back as the pages say of a power loss.
+// It returns false if this was no moment at which removals were not durable.
+//
+// The store removes all files that a snapshot covers and syncs their folder afterwards. If another file
+// was removed after the moment of the cut, the folder had not been synced by then, and each removal
+// may be kept or lost by itself: the first one is lost, so that the file is there again, and the second
+// one is kept. What was removed after the cut is there.
+func (s *shadow) cut(names, left []string) bool {
+	s.m.kill("control")
+	atCut, atEnd := removedOf(names, left), removedOf(names, s.logs())
+	s.m.w.record.addf("%s: power lost; log files before: %v; removed at the power loss: %v; when the process was gone: %v",
+		s.m.name, short(names), short(atCut), short(atEnd))
+	if len(atEnd) <= len(atCut) {
+		return false
+	}
+	for _, n := range atEnd {
+		if n == atCut[1] {
+			continue
+		}
+		if err := os.Link(filepath.Join(s.keep, n), filepath.Join(s.data, n)); err != nil {
+			s.m.w.record.addf("%s: %v", s.m.name, err)
+			return false
+		}
+	}
+	s.m.w.record.addf("%s: disk after the power loss: removal of %v lost, removal of %v kept; log files: %v",
+		s.m.name, short(atCut[:1]), short(atCut[1:2]), short(s.logs()))
+	return true
+}
+
+// losePower lets one of the machines lose power while it removes log files. It returns nil if there was
+// no such moment until stop was set.
+func losePower(machines []*machine, stop *atomic.Bool) *machine {
+	for !stop.Load() {
+		var found atomic.Bool
+		var victim *machine
+		var struck bool
+		var wg sync.WaitGroup
+		for _, m := range machines {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				s, err := newShadow(m)
+				if err != nil {
+					return
+				}
+				var over atomic.Bool
+				done := make(chan struct{})
+				defer close(done)
+				go func() {
+					for {
+						select {
+						case <-done:
+							return
+						case <-time.After(time.Millisecond):
+							if stop.Load() || found.Load() {
+								over.Store(true)
+								return
+							}
+						}
+					}
+				}()
+				names, left := s.watch(&over)
+				if names != nil && found.CompareAndSwap(false, true) {
+					victim, struck = m, s.cut(names, left)
+				}
+			}()
+		}
+		wg.Wait()
+		if victim == nil || struck {
+			return victim
+		}
+		// The folder may have been synced: its disk is as it was.
+		if err := victim.start("control", false); err != nil {
+			return nil
+		}
+		time.Sleep(catchUp)
+	}
+	return nil
+}
+
+func short(names []string) []string {
+	var out []string
+	for _, n := range names {
+		out = append(out, strings.TrimLeft(strings.TrimSuffix(n, ".log"), "0"))
+	}
+	return out
+}
+
+// longConfig is a configuration with many routes.
+func longConfig(version int) []byte {
+	var c map[string]any
+	_ = json.Unmarshal(ledgerConfig(version), &c)
+	routes := c["Routes"].([]any)
+	for i := range longRoutes {
+		routes = append(routes, map[string]any{
+			"Name": fmt.Sprintf("more-%d-%d", version, i), "Host": fmt.Sprintf("more%d.example", i%50), "PathPrefix": fmt.Sprintf("/more%d/part%d/", version, i),
+			"Kind": "safe", "TimeoutMs": 2500, "TargetLatencyMs": 150, "Priority": 1, "Service": "ledger", "MaxAttempts": 2,
+			"Sticky": false, "Resumable": false, "TargetGapMs": 250,
+		})
+	}
+	c["Routes"] = routes
+	b, _ := json.Marshal(c)
+	return b
+}
+
+// powerLosses changes the configuration all the time. Two machines, one after the other, lose power
+// while they replace their log by a snapshot, and are started again with the disks that they had.
+func powerLosses(w *world, trouble bool) (broken bool, err error) {
+	for _, m := range w.machines {
+		if err := m.start("control", true); err != nil {
+			return false, err
+		}
+	}
+	begun := time.Now()
+	var stop, changing atomic.Bool
+	changing.Store(true)
+	var acked atomic.Int64
+	changed := make(chan struct{})
+	go func() {
+		defer close(changed)
+		o := w.newOperator()
+		o.client.Timeout = 3 * time.Second // More for large bodies.
+		o.quiet = true
+		for v := 1; changing.Load(); v++ {
+			body := longConfig(v)
+			for changing.Load() {
+				if _, ok := o.until(time.Now().Add(5*time.Second), http.MethodPost, "/bulrushpath/Config.Replace", body); ok {
+					acked.Store(int64(v))
+					break
+				}
+			}
+			if !trouble && v >= 60 {
+				return
+			}
+		}
+	}()
+	if trouble {
+		time.AfterFunc(powerTime, func() { stop.Store(true) })
+		rest := w.machines
+		for range 2 {
+			m := losePower(rest, &stop)
+			if m == nil {
+				changing.Store(false)
+				return false, errors.New("no moment for the power loss was found")
+			}
+			rest = slices.DeleteFunc(slices.Clone(rest), func(x *machine) bool { return x == m })
+			time.Sleep(500 * time.Millisecond)
+			m.supervise("control", restarts)
+			time.Sleep(catchUp + stableWindow)
+		}
+		changing.Store(false)
+	}
+	<-changed
+	w.record.addf("configuration %d is acknowledged, after %.1f s", acked.Load(), time.Since(begun).Seconds())
+	time.Sleep(stableWindow)
+	o := w.newOperator()
+	read, ok := o.until(time.Now().Add(12*time.Second), http.MethodGet, "/bulrushpath/Config.Read", nil)
+	var got struct{ Version int64 }
+	if ok {
+		ok = json.NewDecoder(bytes.NewReader(read)).Decode(&got) == nil
+	}
+	w.record.addf("read back: %v, version %d", ok, got.Version)
+	return !ok || got.Version < acked.Load(), nil
+}
+
+// supervise starts a process and starts it again when it ends by itself, n times at most.
+func (m *machine) supervise(roleName string, n int) {
+	for i := range n {
+		if err := m.start(roleName, false); err != nil {
+			m.w.record.addf("%s: %v", m.name, err)
+			return
+		}
+		m.mu.Lock()
+		cmd := m.procs[roleName]
+		m.mu.Unlock()
+		ended := make(chan error, 1)
+		go func() { ended <- cmd.Wait() }()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		select {
+		case err := <-ended:
+			cancel()
+			m.w.record.addf("%s: start %d: %s ended by itself: %v", m.name, i+1, roleName, err)
+			m.mu.Lock()
+			delete(m.procs, roleName)
+			m.mu.Unlock()
+		case <-ctx.Done():
+			cancel()
+			m.w.record.addf("%s: %s runs again", m.name, roleName)
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
