--- a/review/rig2/operator.go
+++ b/review/rig2/operator.go
@@ -16,7 +16,7 @@
 	w      *world
 	client *http.Client
 	next   int
-	// quiet leaves successful calls out of the record.
+	// quiet leaves single calls out of the record.
 	quiet bool
 }
 
@@ -43,12 +43,14 @@
 	req.Header.Set("Content-Type", "application/json")
 	res, err := o.client.Do(req)
 	if err != nil {
-		o.w.record.addf("operator: %s %s at %s: %v", method, path, at, err)
+		if !o.quiet {
+			o.w.record.addf("operator: %s %s at %s: %v", method, path, at, err)
+		}
 		return 0, nil, err
 	}
 	defer res.Body.Close()
 	answer, err = io.ReadAll(res.Body)
-	if !o.quiet || res.StatusCode != http.StatusOK {
+	if !o.quiet {
 		o.w.record.addf("operator: %s %s at %s: %d %.60q", method, path, at, res.StatusCode, answer)
 	}
 	return res.StatusCode, answer, err
--- a/review/rig2/power.go
+++ b/review/rig2/power.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,8 +25,8 @@
 	catchUp = 4 * time.Second
 	// powerTime bounds the search for the moments of the power losses.
 	powerTime = 75 * time.Second
-	// restarts is the number of times that the platform starts a process that ends by itself.
-	restarts = 4
+	// restartPause is the time after which the platform starts a process that has ended.
+	restartPause = 500 * time.Millisecond
 )
 
 // shadow is what the platform knows of the disk of one machine: each file of the log, under a
@@ -224,6 +223,10 @@
 	var stop, changing atomic.Bool
 	changing.Store(true)
 	var acked atomic.Int64
+	var wg sync.WaitGroup
+	over := make(chan struct{})
+	defer wg.Wait()
+	defer close(over)
 	changed := make(chan struct{})
 	go func() {
 		defer close(changed)
@@ -254,8 +257,9 @@
 			}
 			rest = slices.DeleteFunc(slices.Clone(rest), func(x *machine) bool { return x == m })
 			time.Sleep(500 * time.Millisecond)
-			m.supervise("control", restarts)
-			time.Sleep(catchUp + stableWindow)
+			wg.Add(1)
+			go func() { defer wg.Done(); m.supervise("control", over) }()
+			time.Sleep(time.Second + catchUp + stableWindow)
 		}
 		changing.Store(false)
 	}
@@ -272,9 +276,10 @@
 	return !ok || got.Version < acked.Load(), nil
 }
 
-// supervise starts a process and starts it again when it ends by itself, n times at most.
-func (m *machine) supervise(roleName string, n int) {
-	for i := range n {
+// supervise starts a process, and starts it again each time when it ends by itself, until stop is
+// closed. It returns when the process runs, or after stop.
+func (m *machine) supervise(roleName string, stop <-chan struct{}) {
+	for n := 1; ; n++ {
 		if err := m.start(roleName, false); err != nil {
 			m.w.record.addf("%s: %v", m.name, err)
 			return
@@ -284,19 +289,20 @@
 		m.mu.Unlock()
 		ended := make(chan error, 1)
 		go func() { ended <- cmd.Wait() }()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		select {
 		case err := <-ended:
-			cancel()
-			m.w.record.addf("%s: start %d: %s ended by itself: %v", m.name, i+1, roleName, err)
+			m.w.record.addf("%s: start %d: %s ended by itself: %v", m.name, n, roleName, err)
 			m.mu.Lock()
 			delete(m.procs, roleName)
 			m.mu.Unlock()
-		case <-ctx.Done():
-			cancel()
+		case <-time.After(time.Second):
 			m.w.record.addf("%s: %s runs again", m.name, roleName)
 			return
 		}
-		time.Sleep(500 * time.Millisecond)
+		select {
+		case <-stop:
+			return
+		case <-time.After(restartPause):
+		}
 	}
 }
