--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -24,6 +24,8 @@
 var scenarios = map[string]scenario{
 	"firstStart":  {3, 3, firstStart},
 	"powerLosses": {3, 3, powerLosses},
+	"oddWriter":   {3, 3, oddWriter},
+	"oddService":  {3, 3, oddService},
 }
 
 func main() {
--- a/review/rig2/operator.go
+++ b/review/rig2/operator.go
@@ -90,3 +90,18 @@
 	})
 	return b
 }
+
+// twoServices is a configuration with a second plain service, whose requests may run once.
+func twoServices(version int) []byte {
+	var c map[string]any
+	_ = json.Unmarshal(ledgerConfig(version), &c)
+	c["Routes"] = append(c["Routes"].([]any), map[string]any{
+		"Name": "archive", "Host": "ledger.example", "PathPrefix": "/archive/", "Kind": "unsafe", "TimeoutMs": 2500,
+		"TargetLatencyMs": 150, "Priority": 1, "Service": "archive", "MaxAttempts": 1,
+	})
+	c["Services"] = append(c["Services"].([]any), map[string]any{
+		"Name": "archive", "HealthPath": "/health", "MaxConnections": 130, "Protocol": "h1", "Tls": false,
+	})
+	b, _ := json.Marshal(c)
+	return b
+}
