--- a/review/rig2/power.go
+++ b/review/rig2/power.go
@@ -24,7 +24,11 @@
 	// catchUp is CatchUpS, after which the next loss may come.
 	catchUp = 4 * time.Second
 	// powerTime bounds the search for the moments of the power losses.
-	powerTime = 75 * time.Second
+	powerTime = 88 * time.Second
+	// proofTime is the time for which a process goes on to show that it was removing files.
+	proofTime = 5 * time.Millisecond
+	// maxSteps bounds the steps in which the process goes on while its log is replaced.
+	maxSteps = 1000
 	// restartPause is the time after which the platform starts a process that has ended.
 	restartPause = 500 * time.Millisecond
 )
@@ -80,43 +84,79 @@
 	return out
 }
 
-// watch waits until the machine is about to replace its log by a snapshot: two log files are removed
-// and another one, beside the last, is still there. It returns the names of the files before, and
-// those that are left; both are nil if stop was set first.
+// snapshot returns the name of the newest snapshot.
+func (s *shadow) snapshot() (newest string) {
+	entries, _ := os.ReadDir(s.data)
+	for _, e := range entries {
+		if strings.HasSuffix(e.Name(), ".snap") {
+			newest = max(newest, e.Name())
+		}
+	}
+	return newest
+}
+
+// pause stops the process and waits until it stands still.
+func pause(p *os.Process) {
+	_ = p.Signal(syscall.SIGSTOP)
+	for range 200 {
+		b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid))
+		if i := bytes.LastIndexByte(b, ')'); i < 0 || i+2 < len(b) && b[i+2] != 'R' && b[i+2] != 'S' && b[i+2] != 'D' {
+			return
+		}
+	}
+}
+
+// watch waits until the machine replaces its log by a snapshot, lets its process go on in small steps
+// until two log files are removed, and then for proofTime to see whether it removes more: if so, the
+// removal was in progress before. It returns the names of the files before, and those that were left when
+// two were removed; the process is stopped then. Both are nil if there was no such moment until stop was set.
 func (s *shadow) watch(stop *atomic.Bool) (names, left []string) {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	for !stop.Load() {
+	s.m.mu.Lock()
+	p := s.m.procs["control"].Process
+	s.m.mu.Unlock()
+	for last := s.snapshot(); !stop.Load(); {
 		names = s.logs()
-		if len(names) < 4 {
-			time.Sleep(time.Millisecond)
+		s.link(names)
+		now := last
+		for i := 0; i < 200 && now == last; i++ {
+			now = s.snapshot()
+		}
+		if now == last || len(names) < 4 {
+			last = now
 			continue
 		}
-		s.link(names)
-		for range 5000 {
-			if !s.exists(names[1]) {
-				break
+		last = now
+		for range maxSteps {
+			pause(p)
+			left = s.logs()
+			if n := len(removedOf(names, left)); n >= 2 {
+				_ = p.Signal(syscall.SIGCONT)
+				time.Sleep(proofTime)
+				pause(p)
+				if len(removedOf(names, s.logs())) > n {
+					return names, left
+				}
+				break // The folder may have been synced.
 			}
+			_ = p.Signal(syscall.SIGCONT)
 		}
-		// The files go in the order of their names: the third one is there, so that only two are gone.
-		if !s.exists(names[1]) && s.exists(names[2]) {
-			return names, names[2:]
-		}
+		_ = p.Signal(syscall.SIGCONT)
 	}
 	return nil, nil
 }
 
-// cut takes the power of the machine, and lets its disk come back as the pages say of a power loss.
-// It returns false if this was no moment at which removals were not durable.
+// cut takes the power of the machine at the moment that watch has found, and lets its disk come back as the
+// pages say of a power loss. It returns false if that failed.
 //
-// The store removes all files that a snapshot covers and syncs their folder afterwards. If another file
-// was removed after the moment of the cut, the folder had not been synced by then, and each removal
-// may be kept or lost by itself: the first one is lost, so that the file is there again, and the second
-// one is kept. What was removed after the cut is there.
+// The store removes all files that a snapshot covers and syncs their folder afterwards. As more was removed
+// later, the folder had not been synced at that moment, and each removal may be kept or lost by itself. The
+// first one is lost, so that the file is there again, and the second one is kept. What was removed later is there.
 func (s *shadow) cut(names, left []string) bool {
 	s.m.kill("control")
 	atCut, atEnd := removedOf(names, left), removedOf(names, s.logs())
-	s.m.w.record.addf("%s: power lost; log files before: %v; removed at the power loss: %v; when the process was gone: %v",
+	s.m.w.record.addf("%s: power lost; log files before: %v; removed at the power loss: %v; a moment later: %v",
 		s.m.name, short(names), short(atCut), short(atEnd))
 	if len(atEnd) <= len(atCut) {
 		return false
@@ -168,8 +208,12 @@
 					}
 				}()
 				names, left := s.watch(&over)
-				if names != nil && found.CompareAndSwap(false, true) {
+				switch {
+				case names == nil:
+				case found.CompareAndSwap(false, true):
 					victim, struck = m, s.cut(names, left)
+				default:
+					m.resume("control")
 				}
 			}()
 		}
@@ -306,3 +350,12 @@
 		}
 	}
 }
+
+// resume lets a stopped process go on.
+func (m *machine) resume(roleName string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if cmd := m.procs[roleName]; cmd != nil {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+	}
+}
