--- a/review/rig2/power.go
+++ b/review/rig2/power.go
@@ -68,12 +68,6 @@
 	}
 }
 
-// exists reports whether the machine has the file.
-func (s *shadow) exists(name string) bool {
-	var st syscall.Stat_t
-	return syscall.Stat(filepath.Join(s.data, name), &st) == nil
-}
-
 // removedOf returns which of the names are not left.
 func removedOf(names, left []string) (out []string) {
 	for _, n := range names {
