--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -28,7 +28,12 @@
 	roles     map[string]role
 	record    *recorder
 	machines  []*machine
-	seeds     []string
+
+	// mu guards closed, which is set once no process may be started any more.
+	mu     sync.Mutex
+	closed bool
+
+	seeds []string
 	// The ports are the same on all machines.
 	portFront, portReady, portControl, portFirst int
 }
@@ -160,6 +165,11 @@
 	cmd := exec.Command(filepath.Join(w.root, r.run[0]), r.run[1:]...)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = w.root, logs, logs
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + home, "BULRUSHPATH_NODE_FILE=" + file}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return errors.New("the case has ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -186,6 +196,9 @@
 
 // close ends all processes and removes the files. It keeps the last lines of the logs in the record.
 func (w *world) close(logLines int) {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	for _, m := range w.machines {
 		for _, name := range []string{"entry", "control"} {
 			m.mu.Lock()
