--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,6 +3,6 @@
 # out. The program is built by review/build-2.sh.
 set -u
 cd "$(dirname "$0")/../.."
-program=target/review-seeds
+program=review/bin/seeds
 [ -x target/platform ] && [ -x "$program" ] || { echo "not built"; exit 2; }
 RECORD=review/10/record.txt exec timeout --kill-after=5 115 "$program"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,5 @@
 set -eu
 cd "$(dirname "$0")/rig2"
 GOWORK=off go build -buildvcs=false -o ../bin/rig2 .
+cd ../10/rig
+GOWORK=off go build -buildvcs=false -o ../../bin/seeds .
