--- a/control/group.go
+++ b/control/group.go
@@ -21,9 +21,10 @@
 	Leader   func() (netip.AddrPort, bool)
 	Members  func() []*wire.MemberStatus
 	Transfer func(ctx context.Context) error
-	// AwaitTolerance and SetTolerance are those of quorum.Node.
+	// AwaitTolerance, SetTolerance and SetPeers are those of quorum.Node.
 	AwaitTolerance func(ctx context.Context) error
 	SetTolerance   func(t quorum.Tolerance)
+	SetPeers       func(peers map[string]netip.AddrPort)
 	Exchange       func(ctx context.Context, m *wire.QuorumMessage) (*wire.QuorumMessage, error)
 	Close          func() error
 }
@@ -33,7 +34,7 @@
 	node, err := quorum.Open(quorum.Settings{
 		ID:              c.ID,
 		Listen:          c.Listen,
-		Peers:           c.peers(),
+		Peers:           peerAddrs(c.Peers),
 		Voters:          c.Voters,
 		Tolerance:       c.Tolerance(),
 		Zone:            zone,
@@ -60,6 +61,7 @@
 		Transfer:       node.Transfer,
 		AwaitTolerance: node.AwaitTolerance,
 		SetTolerance:   node.SetTolerance,
+		SetPeers:       node.SetPeers,
 		Exchange:       node.Exchange,
 		Close:          node.Close,
 	}, nil
--- a/control/option.go
+++ b/control/option.go
@@ -25,8 +25,8 @@
 	relayTargets int
 	// callRelay passes announcements on to the leader at addr.
 	callRelay func(ctx context.Context, addr netip.AddrPort, req *wire.RelayRequest) (*wire.RelayReply, error)
-	// tolerances receives changes of the losses that the group must bear; may be nil.
-	tolerances <-chan quorum.Tolerance
+	// changes receives the settings that a running instance takes over; may be nil.
+	changes <-chan Changes
 	// announcePeriod is the expected interval between two announcements of a target.
 	announcePeriod time.Duration
 	// quotaTolerance is what may be spent beyond the quotas of customers.
@@ -62,9 +62,17 @@
 // do not check fencing tokens.
 func WithOrderPause(d time.Duration) Option { return func(o *options) { o.orderPause = d } }
 
-// WithToleranceUpdates passes changes of the settings to the running instance.
-func WithToleranceUpdates(updates <-chan quorum.Tolerance) Option {
-	return func(o *options) { o.tolerances = updates }
+// Changes are the settings that a running instance takes over when they change.
+type Changes struct {
+	// Tolerance states the losses that the group must bear.
+	Tolerance quorum.Tolerance
+	// Peers lists the instances that the settings name, which are told where the group is.
+	Peers []Peer
+}
+
+// WithChanges passes changes of the settings to the running instance.
+func WithChanges(changes <-chan Changes) Option {
+	return func(o *options) { o.changes = changes }
 }
 
 // WithAnnouncePeriod sets the expected interval between two announcements of a target.
--- a/control/run.go
+++ b/control/run.go
@@ -15,7 +15,6 @@
 
 	"bulrushpath.example/lib/daemon"
 	"bulrushpath.example/lib/link"
-	"bulrushpath.example/lib/quorum"
 	"bulrushpath.example/lib/wire"
 )
 
@@ -57,7 +56,7 @@
 	defer stopTasks()
 	var wg sync.WaitGroup
 	wg.Go(func() { daemon.RunTasks(taskCtx, p.Log, tasks) })
-	wg.Go(func() { svc.applyTolerances(taskCtx, o.tolerances) })
+	wg.Go(func() { svc.applyChanges(taskCtx, o.changes) })
 	if svc.fleet != nil {
 		wg.Go(func() { svc.fleet.relay.run(taskCtx) })
 	}
@@ -106,14 +105,15 @@
 	}
 }
 
-// applyTolerances passes changes of the tolerance to the group until ctx is done.
-func (s *service) applyTolerances(ctx context.Context, updates <-chan quorum.Tolerance) {
+// applyChanges passes changes of the settings to the group until ctx is done.
+func (s *service) applyChanges(ctx context.Context, changes <-chan Changes) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case t := <-updates:
-			s.group.SetTolerance(t)
+		case c := <-changes:
+			s.group.SetTolerance(c.Tolerance)
+			s.group.SetPeers(peerAddrs(c.Peers))
 		}
 	}
 }
--- a/control/service_test.go
+++ b/control/service_test.go
@@ -51,6 +51,7 @@
 		Transfer:       func(context.Context) error { return nil },
 		AwaitTolerance: func(context.Context) error { return nil },
 		SetTolerance:   func(quorum.Tolerance) {},
+		SetPeers:       func(map[string]netip.AddrPort) {},
 		Close:          func() error { return nil },
 	}
 }
--- a/control/settings.go
+++ b/control/settings.go
@@ -173,9 +173,9 @@
 	return quorum.Tolerance{Members: c.TolerateInstances, Zones: c.TolerateZones, Regions: c.TolerateRegions}
 }
 
-func (c *Control) peers() map[string]netip.AddrPort {
-	m := make(map[string]netip.AddrPort, len(c.Peers))
-	for _, p := range c.Peers {
+func peerAddrs(peers []Peer) map[string]netip.AddrPort {
+	m := make(map[string]netip.AddrPort, len(peers))
+	for _, p := range peers {
 		m[p.ID] = p.Addr
 	}
 	return m
--- a/lib/daemon/reload.go
+++ b/lib/daemon/reload.go
@@ -14,14 +14,15 @@
 // reloadInterval is how often the settings file is checked for changes.
 const reloadInterval = time.Second
 
-// WatchSettings calls reload on SIGHUP and when the content of the file at path has
-// changed, until ctx is done. If reload fails, it must leave the current settings in
-// effect; its error is logged.
+// WatchSettings calls reload at once, because the file at path may have changed since the settings
+// were loaded, on SIGHUP and when its content has changed, until ctx is done. If reload fails, it must
+// leave the current settings in effect; its error is logged.
 func WatchSettings(ctx context.Context, path string, logger *log.Logger, reload func() error) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
 	current, _ := os.ReadFile(path)
+	logReload(logger, "start", reload())
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
@@ -38,11 +39,14 @@
 			continue
 		}
 		current = data
-		err = reload()
-		e := logger.Info()
-		if err != nil {
-			e = logger.Warn()
-		}
-		e.Str("event", "settingsReloaded").Str("why", trigger).Err(err).Msg("")
+		logReload(logger, trigger, reload())
+	}
+}
+
+func logReload(logger *log.Logger, trigger string, err error) {
+	e := logger.Info()
+	if err != nil {
+		e = logger.Warn()
 	}
+	e.Str("event", "settingsReloaded").Str("why", trigger).Err(err).Msg("")
 }
--- a/lib/daemon/reload_test.go
+++ b/lib/daemon/reload_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestWatchSettings checks that the settings are reloaded both on SIGHUP and on a
+// TestWatchSettings checks that the settings are reloaded at the start, on SIGHUP and on a
 // change of the file, and that SIGHUP does not terminate the process.
 func TestWatchSettings(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.ini")
@@ -33,11 +33,12 @@
 			assert.Assert(t, time.Now().Before(end), "%d reloads, want %d", reloads.Load(), n)
 		}
 	}
+	waitForReloads(1)
 	time.Sleep(50 * time.Millisecond)
 	assert.NilError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP))
-	waitForReloads(1)
-	assert.NilError(t, os.WriteFile(path, []byte("b"), 0o600))
 	waitForReloads(2)
+	assert.NilError(t, os.WriteFile(path, []byte("b"), 0o600))
+	waitForReloads(3)
 	cancel()
 	<-done
 }
--- a/lib/quorum/call.go
+++ b/lib/quorum/call.go
@@ -104,6 +104,16 @@
 	})
 }
 
+// SetPeers tells a running member which instances its settings name now. While it leads, it tells
+// them where the group is; a member outside the group asks them. The initial members, which alone form
+// a group, stay those of Settings.Peers.
+func (n *Node) SetPeers(peers map[string]netip.AddrPort) {
+	n.post(func() {
+		n.core.setSeeds(peers)
+		n.processOutput(nil, nil)
+	})
+}
+
 // Leading returns the current term. ok is false if this member does not lead or has
 // told another one to take over, before it has applied all entries of earlier terms,
 // and if by its own clock no majority has answered it for one election timeout.
--- a/lib/quorum/core.go
+++ b/lib/quorum/core.go
@@ -37,7 +37,8 @@
 type coreConfig struct {
 	id     string
 	diskID []byte
-	peers  map[string]netip.AddrPort
+	// peers holds the addresses of the initial members.
+	peers map[string]netip.AddrPort
 	// voters is the intended number of voters.
 	voters int
 	// tolerance is the loss that the group must bear.
@@ -156,8 +157,13 @@
 	cold coldStart
 	// lead is nil unless this member is the leader.
 	lead *leaderState
-	// reports holds the last report of each peer by its id.
+	// reports holds the last report of each peer by its id; see setReport for their number.
 	reports map[string]peerReport
+	// seeds holds the addresses of the instances that the settings name now; nil if they are those of
+	// the start.
+	seeds map[string]netip.AddrPort
+	// helloRounds is the number of rounds of Hello that this member has sent to join a group.
+	helloRounds uint64
 	// formHelloAt is when a member that forms a group sends Hello next.
 	formHelloAt time.Time
 	// joinHelloAt is when a member that has to join a group sends Hello next.
@@ -343,20 +349,7 @@
 	if m.To != c.cfg.id || !bytes.Equal(m.ToDisk, c.cfg.diskID) {
 		return
 	}
-	old := c.reports[m.From]
-	report := peerReport{
-		diskID: m.FromDisk, empty: m.Empty, group: m.Group, addr: old.addr, zone: old.zone, region: old.region,
-		observer: old.observer, at: c.now,
-	}
-	for _, x := range m.Membership.GetMembers() {
-		report.peers = append(report.peers, x.Id)
-	}
-	if m.Kind == wire.MessageKind_MESSAGE_KIND_HELLO {
-		report.zone, report.region, report.observer = m.Zone, m.Region, m.Observer
-		c.recordLeaderHint(m)
-	}
-	c.recordAddrs(m.Membership)
-	c.reports[m.From] = report
+	c.recordReply(m)
 	if m.Empty && isColdPreVoteReply(m) {
 		c.stepColdPreVoteReply(m)
 	}
--- a/lib/quorum/join.go
+++ b/lib/quorum/join.go
@@ -41,8 +41,10 @@
 	}
 	c.joinHelloAt = c.now.Add(joinHelloHeartbeats * c.cfg.heartbeat)
 	leader, known := c.recentLeaderHint()
+	c.helloRounds++
+	toAll := !known || c.helloRounds%helloAllRounds == 0
 	for _, id := range c.knownIDs() {
-		if id != c.cfg.id && (!known || c.addr(id) == leader) {
+		if id != c.cfg.id && (toAll || c.addr(id) == leader) {
 			c.sendHello(id)
 		}
 	}
@@ -85,7 +87,7 @@
 
 // knownIDs returns the sorted ids of all members known to this one.
 func (c *core) knownIDs() []string {
-	ids := c.peerIDs()
+	ids := c.settingsIDs()
 	for _, m := range c.members.current().Members {
 		ids = append(ids, m.Id)
 	}
@@ -110,10 +112,10 @@
 	if c.empty() && !m.Empty {
 		c.knownAddrs[m.From] = addr
 	}
-	c.reports[m.From] = peerReport{
+	c.setReport(m.From, peerReport{
 		diskID: m.FromDisk, empty: m.Empty, group: m.Group, peers: c.reports[m.From].peers, addr: addr,
 		zone: m.Zone, region: m.Region, observer: m.Observer, at: c.now,
-	}
+	})
 }
 
 // recordAddrs records the addresses of members that another member reported.
@@ -128,7 +130,7 @@
 // addr returns the address of a member. The settings take precedence over what the
 // members report, because a member may have moved to another address.
 func (c *core) addr(id string) netip.AddrPort {
-	if addr, ok := c.cfg.peers[id]; ok {
+	if addr := c.namedAddr(id); addr.IsValid() {
 		return addr
 	}
 	if m := findMember(c.members.current(), id); m != nil {
--- a/lib/quorum/replicate.go
+++ b/lib/quorum/replicate.go
@@ -71,8 +71,7 @@
 	return n
 }
 
-// heartbeat sends an empty append to all members, and from time to time Hello to the initial
-// members that are not in the group.
+// heartbeat sends an empty append to all members, and from time to time Hello to the outsiders.
 func (c *core) heartbeat() {
 	if !c.termIsDurable() {
 		return
@@ -92,15 +91,7 @@
 		}
 		c.sendAppend(m.Id, p, prev, term, nil)
 	}
-	if c.now.Before(c.joinHelloAt) {
-		return
-	}
-	c.joinHelloAt = c.now.Add(joinHelloHeartbeats * c.cfg.heartbeat)
-	for _, id := range c.peerIDs() {
-		if findMember(cur, id) == nil {
-			c.sendHello(id)
-		}
-	}
+	c.sendHellos()
 }
 
 // send sends each member as many entries as its window allows.
