--- a/lib/store/record.go
+++ b/lib/store/record.go
@@ -52,6 +52,14 @@
 	truncateFrom uint64
 }
 
+// begins returns the index from which on the record determines the log.
+func (r record) begins() uint64 {
+	if r.truncateFrom != 0 {
+		return r.truncateFrom
+	}
+	return r.entries[0].Index
+}
+
 // encodeRecord returns the encoded record: length of the body and CRC-32C over length
 // and body (4 bytes each, little endian), then the body. The CRC starts from seed,
 // which is derived from the disk identity. Otherwise a command that contains an
