store: do not write the spare meta file before its exchange is durable

What callers could see: after a failed sync of the data directory and a loss of power in the retry, a member whose meta file is torn and that does not start again.

Cause: the retry wrote into the file that was the spare since the exchange, although on the disk it may still have the name of the meta file. Ruled out: a crash of the process in between (a start syncs the directory before it writes).

Change: the exchange is remembered until the directory is synced. TestFailedSyncOfTheExchangedMetaFile failed before, with two writes of the spare before the exchange was durable.

--- a/lib/store/power_test.go
+++ b/lib/store/power_test.go
@@ -176,6 +176,43 @@
 	}
 }
 
+// Guards against a meta file that is written in place: the sync of the directory has failed after the
+// exchange of names, so that the name of the meta file may still lead to the file that is the spare now.
+func TestFailedSyncOfTheExchangedMetaFile(t *testing.T) {
+	dir := t.TempDir()
+	files := OSFiles()
+	failing, exchanged := false, false
+	files.Exchange = func(a, b string) error {
+		exchanged = true
+		return OSFiles().Exchange(a, b)
+	}
+	files.SyncDir = func(dir string) error {
+		if failing {
+			return syscall.EIO
+		}
+		exchanged = false
+		return syncDir(dir)
+	}
+	files.OpenFile = func(path string, flag int, perm os.FileMode) (*os.File, error) {
+		if flag&os.O_WRONLY != 0 && filepath.Base(path) == spareMetaName {
+			assert.Check(t, !exchanged, "the spare is written before the exchange is durable")
+		}
+		return os.OpenFile(path, flag, perm)
+	}
+	s := openStore(t, dir, WithFiles(files))
+	assert.NilError(t, s.SetMeta(Meta{Term: 1}))
+	failing = true
+	for range 2 {
+		assert.ErrorIs(t, s.SetMeta(Meta{Term: 2}), syscall.EIO)
+	}
+	failing = false
+	assert.NilError(t, s.SetMeta(Meta{Term: 3}))
+	assert.NilError(t, s.Close())
+	s = openStore(t, dir)
+	assert.Equal(t, s.Meta().Term, uint64(3))
+	assert.NilError(t, s.Close())
+}
+
 // Guards against a loss that nobody notices: the last segment is empty, since the next record did not
 // fit the disk, and the one before it is missing, with entries that the snapshot does not cover.
 func TestMissingSegmentBeforeAnEmptyOne(t *testing.T) {
--- a/lib/store/reserve.go
+++ b/lib/store/reserve.go
@@ -149,6 +149,9 @@
 	if info, err := os.Stat(spare); err != nil || info.Size() == 0 || len(data) > spareMetaBytes {
 		return false, nil
 	}
+	if err := s.syncExchange(); err != nil {
+		return false, err
+	}
 	if err := s.overwriteFile(spare, data); err != nil {
 		return false, fmt.Errorf("write spare file: %w", err)
 	}
@@ -159,10 +162,20 @@
 	case err != nil:
 		return false, fmt.Errorf("swap names: %w", err)
 	}
+	s.metaExchanged = true
+	return true, s.syncExchange()
+}
+
+// syncExchange makes the last exchange of the meta file and its spare durable, if it is not yet.
+func (s *Store) syncExchange() error {
+	if !s.metaExchanged {
+		return nil
+	}
 	if err := s.files.SyncDir(s.dir); err != nil {
-		return false, fmt.Errorf("sync directory: %w", err)
+		return fmt.Errorf("sync directory: %w", err)
 	}
-	return true, nil
+	s.metaExchanged = false
+	return nil
 }
 
 // overwriteFile replaces the content of a file in the room that it has, and syncs it.
--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -44,7 +44,10 @@
 	// ioMu is held during every change of the log and of the meta file.
 	ioMu     sync.Mutex
 	meta     Meta
-	snapshot Snapshot
+	// metaExchanged is set from an exchange of the meta file and its spare until the directory is synced.
+	// Until then, a loss of power may give the spare the name of the meta file again, so it is not written.
+	metaExchanged bool
+	snapshot      Snapshot
 	// entries holds the entries read by Open until Entries returns them.
 	entries []Entry
 	// lastIndex is the index of the last durable entry, or of the snapshot if the log
