--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -42,8 +42,8 @@
 	snapshotMu sync.Mutex
 
 	// ioMu is held during every change of the log and of the meta file.
-	ioMu     sync.Mutex
-	meta     Meta
+	ioMu sync.Mutex
+	meta Meta
 	// metaExchanged is set from an exchange of the meta file and its spare until the directory is synced.
 	// Until then, a loss of power may give the spare the name of the meta file again, so it is not written.
 	metaExchanged bool
