relay: take no answer whose status is none of the protocol

Cause: http.ReadResponse takes any three characters that make a number, and the relay asked only whether it is below 200. Ruled out: the entry instance's server (the relay itself returned such a status).

Change: a status outside 100 to 599, or 101, ends the exchange as one whose target may have run the request. The same in the agent, which recorded 600 and 999 as outcomes of claims.

--- a/agent/plain.go
+++ b/agent/plain.go
@@ -14,6 +14,7 @@
 	"github.com/dghubble/sling"
 
 	"bulrushpath.example/lib/daemon"
+	"bulrushpath.example/lib/relay"
 	"bulrushpath.example/lib/wire"
 )
 
@@ -105,7 +106,15 @@
 	if err != nil {
 		return nil, &refusedError{reason: wire.Reason_REASON_BAD_REQUEST, message: err.Error()}
 	}
-	return sendOnce(p.transport, req, claimed)
+	resp, err := sendOnce(p.transport, req, claimed)
+	if err != nil {
+		return nil, err
+	}
+	if err := relay.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // sendOnce sends req without following redirects. A claimed request uses a connection
--- a/lib/relay/exchange.go
+++ b/lib/relay/exchange.go
@@ -16,6 +16,9 @@
 // earlier requests are skipped.
 const maxResponses = 4
 
+// minStatus and maxStatus are the least and the highest status of an answer, interim ones included.
+const minStatus, maxStatus = 100, 599
+
 // maxHeaderBytes bounds the header of a response, and maxSkippedBytes a late response to an
 // earlier request. A target in trouble may send bytes without end.
 const (
@@ -167,6 +170,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
+		if err := CheckStatus(res.StatusCode); err != nil {
+			return nil, err
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
@@ -188,6 +194,16 @@
 	return nil, errors.New("too many answers of other requests")
 }
 
+// CheckStatus returns an error if the status is none that a target may answer with (RFC 9110, section 15).
+// What follows such a header can't be told apart from an answer either. No request asks for another
+// protocol.
+func CheckStatus(status int) error {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("answer with status %03d", status)
+	}
+	return nil
+}
+
 func chunked(res *http.Response) bool {
 	return len(res.TransferEncoding) > 0 && res.TransferEncoding[0] == "chunked"
 }
