relay: the end of an answer without a length counts once no reset has come

Cause: once a connection has ended, the kernel returns the end for good and keeps a reset as an error of the socket, which no read returns.

Answers with a length or chunks don't wait. The same in the agent, for plain services.

TestResetAnswerIsNotWhole, TestBrokenAnswersReachNoClient, TestResetStreamIsNotComplete and TestResetAnswerIsNoOutcome failed before. TestAnswerCutAnywhere tries the report of cut heads, and passed before as well: each byte of seven kinds of answers, closed and reset.

--- a/agent/broken_test.go
+++ b/agent/broken_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -68,3 +69,15 @@
 		checkOutcome(t, rawService(t, text, func(*net.TCPConn) {}), false)
 	}
 }
+
+// Guards against a part of an answer that is reported as the whole, and kept as that of its claim: the
+// answer has no length, and its connection is reset just after it has ended.
+func TestResetAnswerIsNoOutcome(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\n\r\npart"
+	checkOutcome(t, rawService(t, part, func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		time.Sleep(time.Millisecond)
+		_ = c.SetLinger(0)
+	}), false)
+	checkOutcome(t, rawService(t, part, func(*net.TCPConn) {}), true)
+}
--- a/agent/conn.go
+++ b/agent/conn.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"bulrushpath.example/lib/relay"
 )
 
 const (
@@ -43,7 +46,13 @@
 func newTransport() *http.Transport {
 	d := net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &endingConn{Conn: c}, nil
+		},
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
@@ -52,6 +61,33 @@
 	}
 }
 
+// endingConn is a connection to a target.
+type endingConn struct {
+	net.Conn
+	// marksEnd is set once the end of the connection is that of an answer.
+	marksEnd atomic.Bool
+}
+
+// endingConnOf returns the endingConn that a transport of this package has made; nil for others.
+func endingConnOf(c net.Conn) *endingConn {
+	if tracked, ok := c.(*trackedConn); ok {
+		c = tracked.Conn
+	}
+	ending, _ := c.(*endingConn)
+	return ending
+}
+
+// Read implements net.Conn.
+func (c *endingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, io.EOF) && c.marksEnd.Load() {
+		if endErr := relay.CheckEnd(c.Conn); endErr != nil {
+			return 0, endErr
+		}
+	}
+	return n, err
+}
+
 // singleConnTransport is a transport that opens at most one connection. net/http resends
 // some requests when a reused connection breaks; with a single connection it cannot.
 type singleConnTransport struct {
--- a/agent/plain.go
+++ b/agent/plain.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/textproto"
 	"net/url"
 	"strings"
+	"sync/atomic"
 
 	"github.com/dghubble/sling"
 
@@ -106,10 +108,13 @@
 	if err != nil {
 		return nil, &refusedError{reason: wire.Reason_REASON_BAD_REQUEST, message: err.Error()}
 	}
-	resp, err := sendOnce(p.transport, req, claimed)
+	var conn atomic.Pointer[endingConn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(endingConnOf(info.Conn)) }}
+	resp, err := sendOnce(p.transport, req.WithContext(httptrace.WithClientTrace(ctx, trace)), claimed)
 	if err != nil {
 		return nil, err
 	}
+	checkEnd(resp, conn.Load())
 	if err := relay.CheckStatus(resp.StatusCode); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
@@ -117,6 +122,14 @@
 	return resp, nil
 }
 
+// checkEnd makes the end of an answer without a length, which is that of its connection, count only if the
+// connection is not reset. conn is the connection of the answer; nil if it is not known.
+func checkEnd(resp *http.Response, conn *endingConn) {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && conn != nil {
+		conn.marksEnd.Store(true)
+	}
+}
+
 // sendOnce sends req without following redirects. A claimed request uses a connection
 // of its own, on which net/http cannot resend it. If it is certain that nothing was
 // sent, the error is a *notSentError.
--- a/lib/relay/exchange.go
+++ b/lib/relay/exchange.go
@@ -124,11 +124,13 @@
 	p.recordActivity(t)
 	c.recordAnswer(r.ID, res.StatusCode)
 	b := &body{pool: p, conn: c, stop: stop, watchdog: w, res: res, ctx: ctx}
-	b.reusable = r.ID != "" && !res.Close && (res.ContentLength >= 0 || chunked(res))
+	framed := res.ContentLength >= 0 || chunked(res)
+	b.reusable = r.ID != "" && !res.Close && framed
+	c.end.marksEnd = !framed
 	c.idleTimeout = idleTimeout(res.Header)
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength,
-		Framed: res.ContentLength >= 0 || chunked(res), Body: b, Reused: c.reused,
+		Framed: framed, Body: b, Reused: c.reused,
 	}, nil
 }
 
@@ -242,7 +244,7 @@
 
 // Read implements io.Reader. If the body is framed, it returns io.EOF only after the whole
 // body: a connection that ends earlier yields another error. An unframed body ends with the
-// connection, so its truncation is detected only after a connection reset.
+// connection, unless that is reset; see CheckEnd.
 func (b *body) Read(dst []byte) (int, error) {
 	n, err := b.res.Body.Read(dst)
 	if n > 0 {
--- a/lib/relay/pool.go
+++ b/lib/relay/pool.go
@@ -79,6 +79,7 @@
 type conn struct {
 	net.Conn
 	r      *bufio.Reader
+	end    *endReader
 	limit  *readLimit
 	target Target
 	// reuseUntil is the time from which the connection must not be reused.
@@ -195,8 +196,11 @@
 		return nil, fmt.Errorf("dial %s: %w", t.Addr, err)
 	}
 	p.recordActivity(t)
-	bounded := &readLimit{r: nc}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded, target: t, idleTimeout: defaultIdleTimeout}, nil
+	end := &endReader{nc: nc}
+	bounded := &readLimit{r: end}
+	return &conn{
+		Conn: nc, r: bufio.NewReaderSize(bounded, readBufferSize), end: end, limit: bounded, target: t, idleTimeout: defaultIdleTimeout,
+	}, nil
 }
 
 // takeIdle returns the idle connection that was used last among those that may carry the request
