store: open the log again once a disk that failed for a moment is sound

Callers saw (report of operators, shown here): after the disks of counted machines had been full for a moment, one after another, no change was acknowledged to the end, while all processes ran.

Cause: after a failed sync, or a failed removal of what a write had left, a store returned the same error until its process started again. With the second member the majority was gone.

Change: before the next write, what is not known to be durable is removed from the active segment, and a segment whose creation has failed; a sync that succeeds after that opens the log.

--- a/lib/store/reserve.go
+++ b/lib/store/reserve.go
@@ -43,7 +43,7 @@
 func (s *Store) HasRoom(n int64) bool {
 	s.ioMu.Lock()
 	defer s.ioMu.Unlock()
-	return s.writeErr == nil && s.reserveLog(n) == nil
+	return s.heal() == nil && s.reserveLog(n) == nil
 }
 
 // MayFit returns an error that says why a record of n bytes does not fit the disk, as far as its file
--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -60,10 +60,13 @@
 	logBytes atomic.Int64
 	// reserved is the length up to which the active segment has room.
 	reserved int64
-	// writeErr is set after a failed fsync of the active segment or an incomplete
-	// clean-up. The content of the files is then unknown until the directory is opened
-	// again, and all writes to the log and the meta file return this error.
+	// writeErr is set after a failed fsync of the active segment or an incomplete clean-up. What the
+	// active segment holds behind its size is then unknown, and all writes to the log and the meta file
+	// return this error until heal has removed it.
 	writeErr error
+	// unfinished is the path of a segment that could not be removed after its creation had failed; empty
+	// if there is none.
+	unfinished string
 }
 
 // Option changes a Store.
@@ -181,8 +184,8 @@
 func (s *Store) SetMeta(m Meta) error {
 	s.ioMu.Lock()
 	defer s.ioMu.Unlock()
-	if s.writeErr != nil {
-		return s.writeErr
+	if err := s.heal(); err != nil {
+		return err
 	}
 	m.Disk = s.meta.Disk
 	if err := s.saveMeta(m); err != nil {
