store: removals after a failed write are durable before anything else is written

What callers could see: a member that does not start again, or has lost entries, after a loss of power that followed writes for which a full disk had no room.

Cause, two of one kind: a segment whose creation had failed was removed without a sync of the directory. And a part of a record was removed without a sync, so that it could come back in a segment that was no longer the last one, which is damage.

Change: both removals are synced before the next record or segment.

TestRemovalOfAnUnfinishedSegmentIsDurable (5 of 6 entries) and TestRemovedPartOfARecordStaysRemoved ("record of 38 bytes is longer than the file") failed before.

--- a/lib/store/power_test.go
+++ b/lib/store/power_test.go
@@ -242,3 +242,84 @@
 	var damage *DamageError
 	assert.Assert(t, errors.As(err, &damage), "got %v", err)
 }
+
+// Guards against entries that are lost with a segment that had been removed: its creation had failed for
+// want of room, small records went to the segment before it, and a loss of power brings it back.
+func TestRemovalOfAnUnfinishedSegmentIsDurable(t *testing.T) {
+	r := &removedFiles{dir: t.TempDir(), unsynced: map[string][]byte{}, lose: func() {}}
+	files := r.files()
+	full := false
+	files.Reserve = func(f *os.File, size int64) error {
+		if full {
+			return syscall.ENOSPC
+		}
+		return OSFiles().Reserve(f, size)
+	}
+	s := openStore(t, r.dir, WithFiles(files), WithSegmentBytes(200))
+	last := uint64(0)
+	for s.segments[len(s.segments)-1].size < 200 {
+		last++
+		assert.NilError(t, s.Append(makeEntries(last, last, 1)))
+	}
+	full = true
+	assert.ErrorIs(t, s.Append(makeEntries(last+1, last+1, 1)), syscall.ENOSPC)
+	for range 3 {
+		last++
+		assert.NilError(t, s.AppendReserved(makeEntries(last, last, 2)))
+		for kept := range uint(2) {
+			copied := openStore(t, r.afterPowerLoss(t, len(r.order), kept))
+			assert.Equal(t, copied.LastIndex(), last)
+			assert.NilError(t, copied.Close())
+		}
+	}
+	assert.NilError(t, s.Close())
+}
+
+// Guards against a member that does not start again because a part of a record is in a segment that is not
+// the last one: its removal was not durable when the next segment was created, and the power was lost.
+func TestRemovedPartOfARecordStaysRemoved(t *testing.T) {
+	files := OSFiles()
+	// torn holds the content of files from before a change of their length that is not synced.
+	torn := map[string][]byte{}
+	failing := false
+	files.Write = func(f *os.File, b []byte) (int, error) {
+		if failing {
+			n, _ := f.Write(b[:len(b)-1])
+			return n, syscall.ENOSPC
+		}
+		return f.Write(b)
+	}
+	files.Truncate = func(f *os.File, size int64) error {
+		if content, err := os.ReadFile(f.Name()); err == nil && int64(len(content)) > size {
+			torn[filepath.Base(f.Name())] = content
+		}
+		return f.Truncate(size)
+	}
+	files.Sync = func(f *os.File) error {
+		delete(torn, filepath.Base(f.Name()))
+		return f.Sync()
+	}
+	dir := t.TempDir()
+	s := openStore(t, dir, WithFiles(files), WithSegmentBytes(200))
+	last := uint64(0)
+	for s.segments[len(s.segments)-1].size < 200 {
+		last++
+		assert.NilError(t, s.Append(makeEntries(last, last, 1)))
+	}
+	failing = true
+	assert.ErrorIs(t, s.AppendReserved(makeEntries(last+1, last+1, 1)), syscall.ENOSPC)
+	failing = false
+	for range 2 {
+		last++
+		assert.NilError(t, s.Append(makeEntries(last, last, 2)))
+		copied := copyAfterCrash(t, dir)
+		for name, content := range torn {
+			assert.NilError(t, os.WriteFile(filepath.Join(copied, name), content, 0o600))
+		}
+		again := openStore(t, copied)
+		assert.Equal(t, again.LastIndex(), last)
+		assert.NilError(t, again.Close())
+	}
+	assert.Equal(t, len(s.segments), 2)
+	assert.NilError(t, s.Close())
+}
--- a/lib/store/segment.go
+++ b/lib/store/segment.go
@@ -42,6 +42,9 @@
 // snapshot.
 func (s *Store) createSegment(number uint64, n int64) error {
 	path := filepath.Join(s.dir, fmt.Sprintf("%020d%s", number, segmentSuffix))
+	if err := s.syncTail(); err != nil {
+		return err
+	}
 	begins, head := s.LastIndex()+1, []byte(segmentMagic)
 	if s.active != nil {
 		head = append(head, encodeRecord(s.checksumSeed(), record{truncateFrom: begins})...)
@@ -63,9 +66,8 @@
 		if f != nil {
 			_ = f.Close()
 		}
-		// If the file stayed behind, the next Open would read it as a segment.
-		if rmErr := s.files.Remove(path); rmErr != nil && !os.IsNotExist(rmErr) {
-			s.writeErr, s.unfinished = fmt.Errorf("remove unfinished segment: %w", rmErr), path
+		if rmErr := s.removeUnfinished(path); rmErr != nil {
+			s.writeErr, s.unfinished = rmErr, path
 		}
 		return fmt.Errorf("create segment: %w", err)
 	}
@@ -187,6 +189,7 @@
 			s.writeErr = fmt.Errorf("truncate incomplete record: %w", cutErr)
 			return err
 		}
+		s.tailCut = true
 		s.reserved = 0 // The room beyond the end is gone.
 		_ = s.reserveLog(0)
 		return err
@@ -197,6 +200,7 @@
 		s.writeErr = fmt.Errorf("sync %s: %w", seg.path, err)
 		return s.writeErr
 	}
+	s.tailCut = false
 	seg.size += int64(len(b))
 	s.countLog()
 	if n := len(r.entries); n > 0 {
@@ -216,7 +220,7 @@
 		return nil
 	}
 	if s.unfinished != "" {
-		if err := s.files.Remove(s.unfinished); err != nil && !os.IsNotExist(err) {
+		if err := s.removeUnfinished(s.unfinished); err != nil {
 			return s.writeErr
 		}
 		s.unfinished = ""
@@ -228,7 +232,34 @@
 	if err := s.files.Sync(s.active); err != nil {
 		return s.writeErr
 	}
-	s.writeErr = nil
+	s.writeErr, s.tailCut = nil, false
+	return nil
+}
+
+// removeUnfinished durably removes a segment whose creation has failed. If it stayed behind, or came back
+// after a loss of power, the next Open would end the log where it begins.
+func (s *Store) removeUnfinished(path string) error {
+	err := s.files.Remove(path)
+	if err == nil || os.IsNotExist(err) {
+		err = s.files.SyncDir(s.dir)
+	}
+	if err != nil {
+		return fmt.Errorf("remove unfinished segment: %w", err)
+	}
+	return nil
+}
+
+// syncTail makes the removal of a part of a record from the active segment durable, if it is not yet. Only
+// the last segment may end with such a part.
+func (s *Store) syncTail() error {
+	if !s.tailCut {
+		return nil
+	}
+	if err := s.files.Sync(s.active); err != nil {
+		s.writeErr = fmt.Errorf("sync %s: %w", s.active.Name(), err)
+		return s.writeErr
+	}
+	s.tailCut = false
 	return nil
 }
 
--- a/lib/store/store.go
+++ b/lib/store/store.go
@@ -64,6 +64,8 @@
 	// active segment holds behind its size is then unknown, and all writes to the log and the meta file
 	// return this error until heal has removed it.
 	writeErr error
+	// tailCut is set from the removal of a part of a record from the active segment until a sync.
+	tailCut bool
 	// unfinished is the path of a segment that could not be removed after its creation had failed; empty
 	// if there is none.
 	unfinished string
