--- a/lib/quorum/join.go
+++ b/lib/quorum/join.go
@@ -118,6 +118,24 @@
 	})
 }
 
+// recordReply records the report in a reply of a peer.
+func (c *core) recordReply(m *wire.QuorumMessage) {
+	old := c.reports[m.From]
+	report := peerReport{
+		diskID: m.FromDisk, empty: m.Empty, group: m.Group, addr: old.addr, zone: old.zone, region: old.region,
+		observer: old.observer, at: c.now,
+	}
+	for _, x := range m.Membership.GetMembers() {
+		report.peers = append(report.peers, x.Id)
+	}
+	if m.Kind == wire.MessageKind_MESSAGE_KIND_HELLO {
+		report.zone, report.region, report.observer = m.Zone, m.Region, m.Observer
+		c.recordLeaderHint(m)
+	}
+	c.recordAddrs(m.Membership)
+	c.setReport(m.From, report)
+}
+
 // recordAddrs records the addresses of members that another member reported.
 func (c *core) recordAddrs(m *wire.Membership) {
 	for _, x := range m.GetMembers() {
--- a/lib/quorum/outsider.go
+++ b/lib/quorum/outsider.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"bulrushpath.example/lib/wire"
 )
 
 // An outsider is an instance that is not in the group but has to know where it is: an observer, or a
@@ -96,8 +94,8 @@
 	delete(c.reports, oldest)
 }
 
-// sendHellos tells the outsiders where the group is, when that is due.
-func (c *core) sendHellos() {
+// tellOutsiders tells the outsiders where the group is, when that is due.
+func (c *core) tellOutsiders() {
 	if c.now.Before(c.joinHelloAt) {
 		return
 	}
@@ -106,21 +104,3 @@
 		c.sendHello(id)
 	}
 }
-
-// recordReply records the report in a reply of a peer.
-func (c *core) recordReply(m *wire.QuorumMessage) {
-	old := c.reports[m.From]
-	report := peerReport{
-		diskID: m.FromDisk, empty: m.Empty, group: m.Group, addr: old.addr, zone: old.zone, region: old.region,
-		observer: old.observer, at: c.now,
-	}
-	for _, x := range m.Membership.GetMembers() {
-		report.peers = append(report.peers, x.Id)
-	}
-	if m.Kind == wire.MessageKind_MESSAGE_KIND_HELLO {
-		report.zone, report.region, report.observer = m.Zone, m.Region, m.Observer
-		c.recordLeaderHint(m)
-	}
-	c.recordAddrs(m.Membership)
-	c.setReport(m.From, report)
-}
--- a/lib/quorum/replicate.go
+++ b/lib/quorum/replicate.go
@@ -91,7 +91,7 @@
 		}
 		c.sendAppend(m.Id, p, prev, term, nil)
 	}
-	c.sendHellos()
+	c.tellOutsiders()
 }
 
 // send sends each member as many entries as its window allows.
