--- a/lib/store/load.go
+++ b/lib/store/load.go
@@ -205,7 +205,7 @@
 		if _, err := s.files.Write(f, []byte(segmentMagic)); err != nil {
 			return fmt.Errorf("write segment header: %w", err)
 		}
-		seg.size = int64(len(segmentMagic))
+		seg.size, seg.head = int64(len(segmentMagic)), int64(len(segmentMagic))
 	} else if err := s.files.Truncate(f, seg.size); err != nil {
 		return fmt.Errorf("truncate torn record: %w", err)
 	}
