tests: one raw server, one raw answer and one way to fill a segment; names

endlessServer and rawAnswer stood beside rawServer and rawBytes with the same lines; power_test.go filled a segment twice. The checks are the same. The comment of maxReports said that members and seeds come on top of it: they are only never forgotten. No program changes.

--- a/entry/gate/stream_test.go
+++ b/entry/gate/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -58,14 +59,7 @@
 
 // rawAnswer sends text as the rest of an answer, and then closes the connection.
 func rawAnswer(head, text string) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\n%s\r\n%s", r.Header.Get("T-Id"), head, text)
-		_ = c.Close()
-	}
+	return rawBytes("200 OK", head, text, func(*net.TCPConn) {})
 }
 
 const (
--- a/lib/quorum/outsider.go
+++ b/lib/quorum/outsider.go
@@ -13,8 +13,8 @@
 // tells each outsider that its settings name or that it remembers.
 
 const (
-	// maxReports bounds the peers whose last report a member keeps, in addition to the members and
-	// those that the settings name.
+	// maxReports bounds the peers whose last report a member keeps. Members and those that the settings
+	// name are never forgotten.
 	maxReports = 64
 	// maxOutsiders bounds the observers to which a leader says Hello although its settings do not
 	// name them, and outsiderMemory the time since they were last heard from.
@@ -75,7 +75,7 @@
 }
 
 // setReport records what a peer has reported. Beyond maxReports, the oldest report of a peer that is
-// no member and not named by the settings makes room.
+// no member and that the settings do not name makes room.
 func (c *core) setReport(id string, r peerReport) {
 	c.reports[id] = r
 	if len(c.reports) <= maxReports {
--- a/lib/quorum/turn_test.go
+++ b/lib/quorum/turn_test.go
@@ -19,7 +19,7 @@
 	"bulrushpath.example/lib/store/vdisk"
 )
 
-// ackLimit is the time within which a change is acknowledged while the group is sound (AckMs of the users).
+// ackLimit is the time within which a change must be acknowledged while the group is sound.
 const ackLimit = 4 * time.Second
 
 // diskTrouble is what a full disk does.
@@ -80,7 +80,7 @@
 	return files
 }
 
-// newTurnGroup returns a group whose log has a limit, as on the users' machines.
+// newTurnGroup returns a group whose log has a limit.
 // The state has the size of the last command, as a configuration replaces the one before.
 func newTurnGroup(t *testing.T, size int, diskBytes int64, commandBytes int) *turnGroup {
 	d := &turnGroup{diskGroup: &diskGroup{}, trouble: make([]atomic.Int64, size)}
--- a/lib/relay/endless_test.go
+++ b/lib/relay/endless_test.go
@@ -1,12 +1,12 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,35 +17,15 @@
 // the connection. closed receives once for each request.
 func endlessServer(t *testing.T, prefix, text string) (target Target, closed chan struct{}) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	closed = make(chan struct{}, 8)
 	block := []byte(strings.Repeat(text, 1+16<<10/len(text)))
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			wg.Go(func() {
-				defer func() { _ = c.Close() }()
-				if _, err := c.Read(make([]byte, 4<<10)); err != nil {
-					return // A probe of the pool, without a request.
-				}
-				defer func() { closed <- struct{}{} }()
-				_, err := io.WriteString(c, prefix)
-				for err == nil {
-					_, err = c.Write(block)
-				}
-			})
+	return rawServer(t, func(c *net.TCPConn, _ *bufio.Reader) {
+		defer func() { closed <- struct{}{} }()
+		_, err := io.WriteString(c, prefix)
+		for err == nil {
+			_, err = c.Write(block)
 		}
-	})
-	t.Cleanup(func() {
-		_ = ln.Close()
-		wg.Wait()
-	})
-	return Target{ID: "t", Addr: ln.Addr().(*net.TCPAddr).AddrPort()}, closed
+	}), closed
 }
 
 // Guards against an entry instance that reads without bound, until the deadline of the
--- a/lib/store/power_test.go
+++ b/lib/store/power_test.go
@@ -243,6 +243,15 @@
 	assert.Assert(t, errors.As(err, &damage), "got %v", err)
 }
 
+// fillSegment appends entries until the next one belongs in a new segment, and returns the last index.
+func fillSegment(tb testing.TB, s *Store) (last uint64) {
+	for !s.segments[len(s.segments)-1].full(s.segmentBytes) {
+		last++
+		assert.NilError(tb, s.Append(makeEntries(last, last, 1)))
+	}
+	return last
+}
+
 // Guards against entries that are lost with a segment that had been removed: its creation had failed for
 // want of room, small records went to the segment before it, and a loss of power brings it back.
 func TestRemovalOfAnUnfinishedSegmentIsDurable(t *testing.T) {
@@ -256,11 +265,7 @@
 		return OSFiles().Reserve(f, size)
 	}
 	s := openStore(t, r.dir, WithFiles(files), WithSegmentBytes(200))
-	last := uint64(0)
-	for s.segments[len(s.segments)-1].size < 200 {
-		last++
-		assert.NilError(t, s.Append(makeEntries(last, last, 1)))
-	}
+	last := fillSegment(t, s)
 	full = true
 	assert.ErrorIs(t, s.Append(makeEntries(last+1, last+1, 1)), syscall.ENOSPC)
 	for range 3 {
@@ -301,11 +306,7 @@
 	}
 	dir := t.TempDir()
 	s := openStore(t, dir, WithFiles(files), WithSegmentBytes(200))
-	last := uint64(0)
-	for s.segments[len(s.segments)-1].size < 200 {
-		last++
-		assert.NilError(t, s.Append(makeEntries(last, last, 1)))
-	}
+	last := fillSegment(t, s)
 	failing = true
 	assert.ErrorIs(t, s.AppendReserved(makeEntries(last+1, last+1, 1)), syscall.ENOSPC)
 	failing = false
