gate: a target's refusal that is not marked as not run reaches no client of a request that may run once

The caller took the 503 for the promise that it is, sent the payment once more, and it was written twice: 3 in 20 s.

Cause: an entry instance asked what a target says about the run only to decide on a resend, and passed every other answer on. 408, 429 and 503 promise something to a caller, and nothing when a target says them unmarked.

Ruled out: a refusal of our own after the attempt (the caller got the target's text, with attempts=1), and a mark that gets lost (TestMarkedRefusalStaysAPromise passes before and after).

Change: for a request that may run only once such an answer is read to its end and withheld. The caller gets 502 without the target's seal, header or text, so that nothing under a seal is changed; the target has failed. Requests that may be repeated, marked refusals and 421 are as before. The outcome `withheld` is in logs and metrics.

--- a/entry/gate/answer.go
+++ b/entry/gate/answer.go
@@ -51,6 +51,9 @@
 		}
 		return errServerError
 	}
+	if promisesNotRun(answer.Status) && !c.route.Repeatable() {
+		return withhold(answer)
+	}
 	if !whole {
 		return c.passOn(answer, buf)
 	}
--- a/entry/gate/dispatch.go
+++ b/entry/gate/dispatch.go
@@ -54,6 +54,9 @@
 	// incomplete: the target may have run the request, and its response is unusable or
 	// incomplete.
 	incomplete // broken
+	// withheld: the target has answered in full, with a status that would tell the client that the
+	// request has not run. The target does not say so.
+	withheld // withheld
 	// clientLeft: the client closed its connection.
 	clientLeft // client left
 	// expired: the deadline of the request has passed.
@@ -83,15 +86,10 @@
 		if res != answered {
 			c.logAttempt(choice, res, err)
 		}
+		if f, final := c.conclude(res, err); final {
+			return f
+		}
 		switch res {
-		case answered:
-			c.recordCompleted()
-			return nil
-		case clientLeft:
-			c.record.outcome = "clientLeft"
-			return &failure{status: http.StatusBadGateway, reason: "client left"}
-		case expired:
-			return c.deadlineFailure()
 		case noAdapter:
 			if fetches++; fetches >= maxFailedFetches {
 				return c.noAdapterFailure()
@@ -99,14 +97,6 @@
 			c.tried[choice.Target.ID] = true
 			c.sleep(ctx, fetchRetryDelay)
 			continue
-		case withdrawn, noPermit:
-			continue
-		case overBudget:
-			return c.retryLimitFailure()
-		case keyRefused:
-			return c.keyFailure(err)
-		case noQuota:
-			return c.quotaFailure()
 		case unreached, notRun:
 			c.tried[choice.Target.ID] = true
 		case incomplete:
@@ -114,6 +104,8 @@
 			if f := c.afterIncomplete(err); f != nil {
 				return f
 			}
+		default: // The target was withdrawn, or takes the request too late.
+			continue
 		}
 		sends++
 		if res == notRun {
@@ -123,6 +115,32 @@
 	}
 }
 
+// conclude returns the end of the request if the result of a send is final; nil if the client has got the
+// target's answer.
+func (c *call) conclude(res result, err error) (f *failure, final bool) {
+	switch res {
+	case answered:
+		c.recordCompleted()
+		return nil, true
+	case withheld:
+		c.recordCompleted()
+		return &failure{status: http.StatusBadGateway, reason: err.Error()}, true
+	case clientLeft:
+		c.record.outcome = "clientLeft"
+		return &failure{status: http.StatusBadGateway, reason: "client left"}, true
+	case expired:
+		return c.deadlineFailure(), true
+	case overBudget:
+		return c.retryLimitFailure(), true
+	case keyRefused:
+		return c.keyFailure(err), true
+	case noQuota:
+		return c.quotaFailure(), true
+	case notRun, unreached, noAdapter, withdrawn, noPermit, incomplete:
+	}
+	return nil, false
+}
+
 // afterIncomplete records that a target may have run the request without a complete response.
 // It returns a failure if the request must not be resent.
 func (c *call) afterIncomplete(err error) *failure {
@@ -202,19 +220,23 @@
 			c.attempts++
 		case unreached:
 			c.undoQuota()
-		case answered, notRun, noAdapter, withdrawn, noPermit, overBudget, keyRefused, noQuota, clientLeft, expired:
+		case answered, notRun, noAdapter, withdrawn, noPermit, overBudget, keyRefused, noQuota, withheld, clientLeft, expired:
 		}
 		return c.resultOrCancelled(ctx, res), cancelCause(attemptCtx, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	c.gateway.observeNotices(c.dest, answer)
 	c.observeLimit(answer)
-	if answer.Header.Get(c.gateway.headers.NotRun) != "" || answer.Status == http.StatusMisdirectedRequest {
+	if c.gateway.saysNotRun(answer) {
 		return notRun, errors.New("target answered " + strconv.Itoa(answer.Status) + ", not run")
 	}
 	c.attempts++
 	if err := c.forward(choice, answer, sentAt); err != nil {
-		return c.resultOrCancelled(ctx, incomplete), cancelCause(attemptCtx, err)
+		res := incomplete
+		if errors.Is(err, errUnmarkedRefusal) {
+			res = withheld
+		}
+		return c.resultOrCancelled(ctx, res), cancelCause(attemptCtx, err)
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		c.gateway.mu.Lock()
@@ -295,6 +317,8 @@
 		if !errors.Is(err, errSuspectPart) {
 			t.AddFailure(time.Now(), errors.Is(err, relay.ErrSilent) || !hasOutput)
 		}
+	case withheld:
+		t.AddFailure(time.Now(), false)
 	case answered, notRun, noAdapter, withdrawn, noPermit, overBudget, keyRefused, noQuota, clientLeft, expired:
 	}
 }
--- a/entry/gate/limit.go
+++ b/entry/gate/limit.go
@@ -37,7 +37,7 @@
 // target has sealed or refused do not count.
 func (c *call) observeLimit(answer *relay.Response) {
 	g := c.gateway
-	fromTarget := answer.Header.Get(g.headers.Seal) != "" || answer.Header.Get(g.headers.NotRun) != ""
+	fromTarget := answer.Header.Get(g.headers.Seal) != "" || g.marksNotRun(answer)
 	if !fromTarget || g.headers.Limit == "" {
 		return
 	}
--- a/entry/gate/result_string.go
+++ b/entry/gate/result_string.go
@@ -18,13 +18,14 @@
 	_ = x[keyRefused-7]
 	_ = x[noQuota-8]
 	_ = x[incomplete-9]
-	_ = x[clientLeft-10]
-	_ = x[expired-11]
+	_ = x[withheld-10]
+	_ = x[clientLeft-11]
+	_ = x[expired-12]
 }
 
-const _result_name = "answerednot rununreachedno adapterwithdrawnno permitover budgetkey refusedno quotabrokenclient leftexpired"
+const _result_name = "answerednot rununreachedno adapterwithdrawnno permitover budgetkey refusedno quotabrokenwithheldclient leftexpired"
 
-var _result_index = [...]uint8{0, 8, 15, 24, 34, 43, 52, 63, 74, 82, 88, 99, 106}
+var _result_index = [...]uint8{0, 8, 15, 24, 34, 43, 52, 63, 74, 82, 88, 96, 107, 114}
 
 func (i result) String() string {
 	idx := int(i) - 0
