gate: a refusal whose mark has no value counts as marked

Callers saw: 502 for a request that may run only once, and no other target tried, although its target had said that it has not run it: `Bulrushpath-Not-Executed` was there, without a value. The protocol asks whether an answer has the header.

Cause: the header was looked up by its value.

--- a/entry/gate/promise.go
+++ b/entry/gate/promise.go
@@ -31,9 +31,10 @@
 	return g.marksNotRun(answer) || answer.Status == http.StatusMisdirectedRequest
 }
 
-// marksNotRun reports whether the answer has the header that marks a request as not run.
+// marksNotRun reports whether the answer has the header that marks a request as not run, with any value
+// or none.
 func (g *Gateway) marksNotRun(answer *relay.Response) bool {
-	return answer.Header.Get(g.headers.NotRun) != ""
+	return len(answer.Header.Values(g.headers.NotRun)) > 0
 }
 
 // withhold reads what is left of an answer that must not reach the client. It returns errUnmarkedRefusal
--- a/entry/gate/promise_test.go
+++ b/entry/gate/promise_test.go
@@ -89,12 +89,12 @@
 	}
 }
 
-// Guards against a refusal that keeps what it promises and reaches the client as another failure: marked
-// or for another target; and against one that is not tried elsewhere.
+// Guards against a refusal that keeps what it promises and reaches the client as another failure: marked, with
+// or without a value, or for another target; and against one that is not tried elsewhere.
 func TestMarkedRefusalStaysAPromise(t *testing.T) {
 	cases := []refusal{{status: http.StatusMisdirectedRequest, form: "length", seal: true, size: 9}}
 	for _, status := range append(promiseStatuses, http.StatusBadRequest) {
-		for _, value := range []string{"1"} {
+		for _, value := range []string{"1", ""} {
 			for _, form := range []string{"length", "connection"} {
 				cases = append(cases, refusal{status: status, form: form, seal: true, size: 9, mark: true, markValue: value})
 			}
