gate: no refusal of this instance promises anything once a target may have run the request

Callers saw: 503 `the model is not declared`, with a Retry-After, for a request that may be repeated, after a target which still held the model had begun it and broken off. No request that may run only once was concerned.

Cause: each of the refusals decided on its own whether the request may have run, and this one did not. All of them were read.

Change: call.checkPromise turns what promises not run into 502 for every failure of this instance, before it is written.

Measured: TestRefusalAfterAnAttemptPromisesNothing failed before.

--- a/entry/gate/fixture_test.go
+++ b/entry/gate/fixture_test.go
@@ -297,6 +297,18 @@
 	return fx
 }
 
+// removeTargets makes control report that all targets are gone.
+func (fx *fixture) removeTargets() {
+	fx.control.mu.Lock()
+	for i, x := range fx.control.targets {
+		gone := proto.CloneOf(x)
+		gone.Removed = true
+		fx.control.targets[i] = gone
+	}
+	fx.control.mu.Unlock()
+	assert.Check(fx.t, fx.gateway.report(fx.t.Context()))
+}
+
 // establishBudgets replaces the retry budgets by those of an instance that has run alone for
 // two windows.
 func (fx *fixture) establishBudgets(limit steer.RetryLimit) {
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -352,6 +352,7 @@
 func (c *call) finish(f *failure) {
 	d := &c.record
 	if f != nil {
+		c.checkPromise(f)
 		d.status, d.reason = f.status, f.reason
 	}
 	if f == nil && d.outcome == "" {
--- a/entry/gate/promise.go
+++ b/entry/gate/promise.go
@@ -37,6 +37,14 @@
 	return len(answer.Header.Values(g.headers.NotRun)) > 0
 }
 
+// checkPromise changes a failure of this instance to one that promises nothing if a target may have run the
+// request. It applies to all of them, whichever step has refused the request.
+func (c *call) checkPromise(f *failure) {
+	if promisesNotRun(f.status) && c.attempts > 0 {
+		f.status, f.reason, f.retryAfter = http.StatusBadGateway, "answer incomplete: "+f.reason, 0
+	}
+}
+
 // withhold reads what is left of an answer that must not reach the client. It returns errUnmarkedRefusal
 // if the answer is complete.
 func withhold(answer *relay.Response) error {
--- a/entry/gate/promise_test.go
+++ b/entry/gate/promise_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bulrushpath.example/lib/wire"
 )
 
 // refusal is an answer of a target that refuses a request, or seems to.
@@ -193,3 +195,24 @@
 	defer fx.gateway.mu.Unlock()
 	assert.Equal(t, len(fx.gateway.suspects.lost), 1)
 }
+
+// Guards against a refusal of this instance that says not run after a target may have run the request: the
+// only one that holds a model which the service does not declare breaks off and is gone.
+func TestRefusalAfterAnAttemptPromisesNothing(t *testing.T) {
+	var fx *fixture
+	fx = newFixture(t, "engines", func(w http.ResponseWriter, r *http.Request) {
+		fx.removeTargets()
+		closeConnection(w, r)
+	})
+	fx.control.mu.Lock()
+	fx.control.targets[0].Models = append(fx.control.targets[0].Models, &wire.FleetModel{Name: "undeclared"})
+	fx.control.mu.Unlock()
+	assert.NilError(t, fx.gateway.report(t.Context()))
+	res, text, err := fx.do(t.Context(), http.MethodPost, "/resumed/x", "b", func(r *http.Request) {
+		r.Header.Set("T-Model", "undeclared")
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(fx.targets[0].requests()), 1)
+	assert.Equal(t, res.StatusCode, http.StatusBadGateway, text)
+	assert.Equal(t, res.Header.Get("Retry-After"), "")
+}
