gate: the fingerprint of a request includes its customer

Cause: call.fingerprint left out the customer, whose name the target gets; losses, verdicts, completions and saved counts are keyed by it.

Ruled out: losses that are not counted, or taken back by heartbeats (with another path of the second customer the third crash is the last).

Change: the name of the customer is part of the fingerprint; its key is not, since keys are renewed. Requests without a customer keep their fingerprints, so that instances of two builds count them together. FingerprintOf takes any number of names.

--- a/entry/call.go
+++ b/entry/call.go
@@ -176,12 +176,12 @@
 func (c *clientRequest) computeHashes() {
 	if c.plainService {
 		// Two calls with the same body on different paths are different requests.
-		c.fingerprint = poison.FingerprintOf("service "+c.key.Service, c.method+" "+c.path, c.body)
+		c.fingerprint = poison.FingerprintOf(c.body, "service "+c.key.Service, c.method+" "+c.path)
 		c.fingerprintHash = route.HashFingerprint(c.fingerprint[:])
 		c.promptHash = c.fingerprintHash
 		return
 	}
-	c.fingerprint = poison.FingerprintOf(c.key.Model, c.key.Adapter, c.body)
+	c.fingerprint = poison.FingerprintOf(c.body, c.key.Model, c.key.Adapter)
 	c.fingerprintHash = route.HashFingerprint(c.fingerprint[:])
 	c.promptHash = route.HashPrompt(c.key.Model, c.body)
 }
--- a/entry/gate/fixture_test.go
+++ b/entry/gate/fixture_test.go
@@ -140,6 +140,7 @@
 		c.parts.RecordLoss(time.Now(), parts, poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
 	}
 	for _, fp := range req.GetCompleted() {
+		c.count.RecordCompletion(poison.Fingerprint(fp))
 		c.parts.RecordCompletion(poison.Fingerprint(fp))
 	}
 	for _, l := range req.GetLimits() {
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -433,7 +433,7 @@
 // leader that the next one does not know is kept.
 func TestVerdictIsTakenBack(t *testing.T) {
 	fx := newFixture(t, "plain", respondSealed(http.StatusOK, "yes"))
-	fp := poison.FingerprintOf("a.example POST /once/x", "/", []byte("body"))
+	fp := poison.FingerprintOf([]byte("body"), "a.example POST /once/x", "/")
 	send := func() int {
 		res, _, err := fx.do(t.Context(), http.MethodPost, "/once/x", "body", nil)
 		assert.NilError(t, err)
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -146,10 +146,15 @@
 	}
 }
 
-// fingerprint returns the fingerprint of the request, which is equal for requests that
-// a target processes in the same way.
+// fingerprint returns the fingerprint of the request, which is equal for requests that a target
+// processes in the same way. What a target does may depend on the customer, but not on the key
+// that the customer uses.
 func (c *call) fingerprint() poison.Fingerprint {
-	return poison.FingerprintOf(c.r.Host+" "+c.r.Method+" "+c.r.RequestURI, c.prompt.Model+"/"+c.prompt.Adapter, c.outbound.Body)
+	names := []string{c.r.Host + " " + c.r.Method + " " + c.r.RequestURI, c.prompt.Model + "/" + c.prompt.Adapter}
+	if c.customer != nil {
+		names = append(names, c.customer.Name)
+	}
+	return poison.FingerprintOf(c.outbound.Body, names...)
 }
 
 // parts returns the fingerprints of the parts of the prompt that may crash targets: the last
--- a/lib/faults/entry_test.go
+++ b/lib/faults/entry_test.go
@@ -219,7 +219,7 @@
 func (s *simulation) rankTargets(fp poison.Fingerprint) []*engine {
 	list := slices.Clone(s.engines)
 	slices.SortFunc(list, func(a, b *engine) int {
-		x, y := poison.FingerprintOf(a.name, "", fp[:]), poison.FingerprintOf(b.name, "", fp[:])
+		x, y := poison.FingerprintOf(fp[:], a.name, ""), poison.FingerprintOf(fp[:], b.name, "")
 		return slices.Compare(x[:], y[:])
 	})
 	return list
--- a/lib/faults/faults_test.go
+++ b/lib/faults/faults_test.go
@@ -206,7 +206,7 @@
 }
 
 func injectPoison(sim *simulation) {
-	fp := poison.FingerprintOf("m1", "", fmt.Appendf(nil, "poison %d", sim.seq))
+	fp := poison.FingerprintOf(fmt.Appendf(nil, "poison %d", sim.seq), "m1", "")
 	for range 1 + sim.randN(3) {
 		sim.after(sim.randomDelay(0, 2000), func() { sim.sendPoison(fp, 8) })
 	}
--- a/lib/poison/poison.go
+++ b/lib/poison/poison.go
@@ -37,14 +37,14 @@
 // Fingerprint identifies requests that are identical to a target.
 type Fingerprint [FingerprintSize]byte
 
-// FingerprintOf returns the fingerprint of a request, a truncated SHA-256 over its parts.
-// Each part is preceded by its length, so that the encoding is unambiguous.
-func FingerprintOf(model, adapter string, body []byte) Fingerprint {
-	buf := make([]byte, 0, 24+len(model)+len(adapter))
-	buf = binary.BigEndian.AppendUint64(buf, uint64(len(model)))
-	buf = append(buf, model...)
-	buf = binary.BigEndian.AppendUint64(buf, uint64(len(adapter)))
-	buf = append(buf, adapter...)
+// FingerprintOf returns the fingerprint of a request, a truncated SHA-256 over its body and the names that
+// tell what runs it, and for whom. Each of them is preceded by its length, so that the encoding is unambiguous.
+func FingerprintOf(body []byte, names ...string) Fingerprint {
+	var buf []byte
+	for _, name := range names {
+		buf = binary.BigEndian.AppendUint64(buf, uint64(len(name)))
+		buf = append(buf, name...)
+	}
 	buf = binary.BigEndian.AppendUint64(buf, uint64(len(body)))
 	h := sha256.New()
 	h.Write(buf)
--- a/lib/poison/poison_test.go
+++ b/lib/poison/poison_test.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,17 +13,24 @@
 )
 
 // Guards against different requests that share a fingerprint because the boundary
-// between their parts is not encoded.
+// between their parts, or their number, is not encoded.
 func TestFingerprintSeparatesParts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		part := rapid.StringMatching("[ab]{0,3}")
-		a := [3]string{part.Draw(t, "model"), part.Draw(t, "adapter"), part.Draw(t, "body")}
-		b := [3]string{part.Draw(t, "model"), part.Draw(t, "adapter"), part.Draw(t, "body")}
-		same := FingerprintOf(a[0], a[1], []byte(a[2])) == FingerprintOf(b[0], b[1], []byte(b[2]))
-		assert.Equal(t, same, a == b)
+		names := rapid.SliceOfN(part, 0, 3)
+		a, b := names.Draw(t, "names"), names.Draw(t, "otherNames")
+		x, y := part.Draw(t, "body"), part.Draw(t, "otherBody")
+		same := FingerprintOf([]byte(x), a...) == FingerprintOf([]byte(y), b...)
+		assert.Equal(t, same, slices.Equal(a, b) && x == y)
 	})
 }
 
+// Guards against counts that are lost in a rolling update: instances of earlier builds report requests without
+// a customer under the same fingerprints.
+func TestFingerprintOfEarlierBuilds(t *testing.T) {
+	assert.Equal(t, fmt.Sprintf("%x", FingerprintOf([]byte("body"), "a.example POST /once/x", "/")), "abab47851675fe5d681573841d860371")
+}
+
 // Guards against a suspect or blocked request that runs beside others, an old list
 // that replaces a newer one, and a cleared request that remains a suspect.
 func TestBookAgainstOracle(t *testing.T) {
