gate: a request's fingerprint does not depend on how its client spells the host

Callers saw: a request that crashes targets is blocked after the third, and its client gets three more with `A.example` or `a.example:80` in place of `a.example`, as often as it finds another spelling.

Cause: the fingerprint took the Host header; routes ignore case and port. It takes the host of the route now.

Ruled out, by the same test on the code before: other headers, ids, deadlines, framing of the body, a model named to a plain service, and another key of the same customer change nothing.

--- a/entry/gate/caller_test.go
+++ b/entry/gate/caller_test.go
@@ -206,3 +206,34 @@
 		}
 	})
 }
+
+// Guards against a caller that has its deadly request counted anew by another spelling of the host, by other
+// headers, another id or deadline, or a body of another framing.
+func TestCallerThatVariesItself(t *testing.T) {
+	hosts := []string{"a.example", "A.example", "a.example:80", "a.EXAMPLE:8080"}
+	for _, c := range []struct {
+		name string
+		vary func(r *http.Request, n int)
+	}{
+		{"host", func(r *http.Request, n int) { r.Host = hosts[n%len(hosts)] }},
+		{"headers", func(r *http.Request, n int) { r.Header.Set("User-Agent", fmt.Sprint("agent ", n)) }},
+		{"model of a plain service", func(r *http.Request, n int) { r.Header.Set("T-Model", fmt.Sprint("m", n)) }},
+		{"id and deadline", func(r *http.Request, n int) {
+			r.Header.Set("T-Id", fmt.Sprint("r", n))
+			r.Header.Set("T-Deadline", fmt.Sprint(1000+n))
+		}},
+		{"framing", func(r *http.Request, n int) { r.ContentLength = []int64{4, -1}[n%2] }},
+		{"key", func(r *http.Request, n int) { keyed(fmt.Sprint("a", 1+n%2))(r) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newCrashWorld(t, "plain", 6)
+			w.setCustomers(customer("a", "a1", "a2"))
+			deadly := requestName("a", "/once/x")
+			w.deadly[deadly] = true
+			for n := range 8 {
+				w.send("a1", "/once/x", func(r *http.Request) { c.vary(r, n) })
+			}
+			assert.Equal(t, w.reachedBy(deadly), 3)
+		})
+	}
+}
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -148,9 +149,9 @@
 
 // fingerprint returns the fingerprint of the request, which is equal for requests that a target
 // processes in the same way. What a target does may depend on the customer, but not on the key
-// that the customer uses.
+// that the customer uses or on its spelling of the host.
 func (c *call) fingerprint() poison.Fingerprint {
-	names := []string{c.r.Host + " " + c.r.Method + " " + c.r.RequestURI, c.prompt.Model + "/" + c.prompt.Adapter}
+	names := []string{strings.ToLower(c.route.Host) + " " + c.r.Method + " " + c.r.RequestURI, c.prompt.Model + "/" + c.prompt.Adapter}
 	if c.customer != nil {
 		names = append(names, c.customer.Name)
 	}
