poison: a part of prompts is counted as each customer uses it, too

Callers saw: prompts of one customer that hold a part crash targets. Answers to another customer's prompts with the same part cleared it, so that it was never blocked; without them, the block refused the other customer's sound prompts.

A part can also be deadly by itself, so that a key with the customer alone would cost three processes for each customer.

Change: the leader counts the part and, under a second fingerprint, the part as the customer uses it. It leaves the part itself out of its verdicts while one customer has lost all the processes. Clears, trials, groups and saved counts work on either; the second fingerprint has fields of its own in messages, which earlier builds ignore.

Without customers nothing changes.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -583,3 +583,32 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(reply.GetSuspects()), 0)
 }
+
+// Guards against parts of one customer that a new leader takes for parts of all customers.
+func TestCustomerPartsOutliveTheLeader(t *testing.T) {
+	p := testProcess()
+	svc := newService("c1", p)
+	svc.group = singleInstance(svc)
+	term := uint64(1)
+	svc.group.Leading = func() (uint64, bool) { return term, true }
+	f := newFleet(svc, p.Log, p.Scope, "c1", &options{})
+	svc.fleet = f
+	t.Cleanup(func() { _ = f.Close() })
+	shared, ofCustomer := poison.PartFingerprint("models", 7), poison.CustomerPartFingerprint("models", "a", 7)
+	for i := range 3 {
+		_, _, err := f.report(time.Now(), &wire.FleetRequest{Name: "e", Lost: []*wire.LostRequest{{
+			Fingerprint: make([]byte, poison.FingerprintSize), Target: fmt.Sprint("t", i), BornMillis: 1,
+			Parts: [][]byte{shared[:]}, CustomerParts: [][]byte{ofCustomer[:]},
+		}}})
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, f.saveLosses(t.Context()))
+	for term = 1; term <= 2; term++ {
+		reply, _, err := f.report(time.Now(), &wire.FleetRequest{Name: "e"})
+		assert.NilError(t, err)
+		assert.Equal(t, len(reply.GetSuspects()), 2, "the request and the part, term %d", term)
+		assert.DeepEqual(t, reply.GetSuspects()[1].GetFingerprint(), ofCustomer[:])
+		assert.Equal(t, reply.GetSuspects()[1].GetVerdict(), wire.Verdict_VERDICT_BLOCKED)
+		assert.Equal(t, reply.GetSuspects()[1].GetGroupSize(), uint32(1))
+	}
+}
--- a/control/lost.go
+++ b/control/lost.go
@@ -35,13 +35,15 @@
 		}
 		f.table.RecordBrokenRequest(now, l.GetTarget())
 		process, parts := poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()}, fingerprints(l.GetParts())
+		ofCustomer := fingerprints(l.GetCustomerParts())
 		f.lostRequests.RecordLoss(now, poison.Fingerprint(l.GetFingerprint()), process)
 		f.lostParts.RecordLoss(now, parts, process)
+		f.lostParts.RecordCustomerLoss(now, ofCustomer, process)
 		firstAfter := f.table.SequenceAfter(now, l.GetTarget(), time.UnixMilli(l.GetBornMillis()), f.announcePeriod)
 		f.lostRequests.RequireSequence(process, firstAfter)
 		f.lostParts.RequireSequence(process, firstAfter)
 		f.log.Warn().Str("event", "requestLost").Str("entry", req.GetName()).Str("target", l.GetTarget()).
-			Hex("fingerprint", l.GetFingerprint()).Str("parts", fmt.Sprintf("%x", parts)).Msg("")
+			Hex("fingerprint", l.GetFingerprint()).Str("parts", fmt.Sprintf("%x", parts)).Str("customerParts", fmt.Sprintf("%x", ofCustomer)).Msg("")
 	}
 	for _, fp := range req.GetCompleted() {
 		if len(fp) == poison.FingerprintSize {
@@ -99,6 +101,7 @@
 	defer f.svc.machineMu.RUnlock()
 	saved := f.svc.machine.PartLosses()
 	f.lostParts.Load(now, saved.GetParts())
+	f.lostParts.LoadOfCustomers(now, saved.GetCustomerParts())
 	f.lostRequests.Load(now, saved.GetRequests())
 }
 
@@ -117,7 +120,9 @@
 		f.mu.Unlock()
 		return nil
 	}
-	losses := &wire.PartLosses{Parts: f.lostParts.Save(), Requests: f.lostRequests.Save()}
+	losses := &wire.PartLosses{
+		Parts: f.lostParts.Save(), CustomerParts: f.lostParts.SaveOfCustomers(), Requests: f.lostRequests.Save(),
+	}
 	f.mu.Unlock()
 	_, err := f.svc.propose(ctx, &wire.Command{Body: &wire.Command_PartLosses{PartLosses: losses}})
 	if err != nil {
--- a/entry/gate/caller_test.go
+++ b/entry/gate/caller_test.go
@@ -27,7 +27,7 @@
 	reached map[string]int
 }
 
-// requestName names the requests of a customer to a path, in the world's maps.
+// requestName names the requests of a customer to a path, or with a part, in the world's maps.
 func requestName(customer, path string) string { return customer + " " + path }
 
 func newCrashWorld(t testT, service string, targets int) *crashWorld {
@@ -35,13 +35,8 @@
 	var handlers []http.HandlerFunc
 	for i := range targets {
 		handlers = append(handlers, func(rw http.ResponseWriter, r *http.Request) {
-			name := requestName(r.Header.Get("T-Customer"), r.URL.Path)
-			w.mu.Lock()
-			w.reached[name]++
-			crashes := w.deadly[name]
-			w.mu.Unlock()
 			switch {
-			case crashes:
+			case w.arrive(r):
 				w.restart(i)
 				panic(http.ErrAbortHandler)
 			case service == "engines":
@@ -55,6 +50,24 @@
 	return w
 }
 
+// arrive records a request that has reached a target, and reports whether it crashes the target: it is deadly itself,
+// or a part of its prompt is.
+func (w *crashWorld) arrive(r *http.Request) (crashes bool) {
+	customer := r.Header.Get("T-Customer")
+	names := []string{requestName(customer, r.URL.Path)}
+	parts := r.Header.Get("T-Parts")
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		names = append(names, requestName(customer, string(part)))
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range names {
+		w.reached[name]++
+		crashes = crashes || w.deadly[name]
+	}
+	return crashes
+}
+
 // restart makes control list a new process of the target.
 func (w *crashWorld) restart(i int) {
 	w.control.mu.Lock()
@@ -73,15 +86,35 @@
 // send sends a request of a customer with the given key and reports to control. It returns the status.
 func (w *crashWorld) send(key, path string, change func(r *http.Request)) int {
 	w.t.Helper()
-	res, _, err := w.do(w.t.Context(), http.MethodPost, path, "body", func(r *http.Request) {
-		keyed(key)(r)
-		if change != nil {
-			change(r)
+	return w.sendThrough(w.fixture, key, path, change)
+}
+
+// sendThrough does the same through an instance, which also reports whenever the request asks for it.
+func (w *crashWorld) sendThrough(fx *fixture, key, path string, change func(r *http.Request)) (status int) {
+	w.t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		res, _, err := fx.do(w.t.Context(), http.MethodPost, path, "body", func(r *http.Request) {
+			keyed(key)(r)
+			if change != nil {
+				change(r)
+			}
+		})
+		if err == nil {
+			status = res.StatusCode
 		}
-	})
-	assert.NilError(w.t, err)
-	assert.NilError(w.t, w.gateway.report(w.t.Context()))
-	return res.StatusCode
+		done <- err
+	}()
+	for {
+		select {
+		case err := <-done:
+			assert.NilError(w.t, err)
+			assert.NilError(w.t, fx.gateway.report(w.t.Context()))
+			return status
+		case <-fx.gateway.reportNow:
+			assert.NilError(w.t, fx.gateway.report(w.t.Context()))
+		}
+	}
 }
 
 // Guards against a deadly request of one customer that is forgotten because the equal request of another one is
--- a/entry/gate/fixture_test.go
+++ b/entry/gate/fixture_test.go
@@ -133,11 +133,9 @@
 		c.count.RecordLoss(time.Now(), poison.Fingerprint(l.GetFingerprint()), poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
 	}
 	for _, l := range req.GetLost() {
-		var parts []poison.Fingerprint
-		for _, fp := range l.GetParts() {
-			parts = append(parts, poison.Fingerprint(fp))
-		}
-		c.parts.RecordLoss(time.Now(), parts, poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()})
+		process := poison.Process{Target: l.GetTarget(), BornMillis: l.GetBornMillis()}
+		c.parts.RecordLoss(time.Now(), fingerprintsIn(l.GetParts()), process)
+		c.parts.RecordCustomerLoss(time.Now(), fingerprintsIn(l.GetCustomerParts()), process)
 	}
 	for _, fp := range req.GetCompleted() {
 		c.count.RecordCompletion(poison.Fingerprint(fp))
@@ -163,6 +161,13 @@
 	return r, nil
 }
 
+func fingerprintsIn(list [][]byte) (out []poison.Fingerprint) {
+	for _, fp := range list {
+		out = append(out, poison.Fingerprint(fp))
+	}
+	return out
+}
+
 func (c *fakeControl) Fetch(_ context.Context, req *wire.FetchRequest) (*wire.FetchReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -206,11 +211,12 @@
 
 // fixture runs a Gateway between a client, fake targets and a fake control.
 type fixture struct {
-	t       testT
-	gateway *Gateway
-	front   *httptest.Server
-	control *fakeControl
-	targets []*fakeTarget
+	t           testT
+	gateway     *Gateway
+	front       *httptest.Server
+	control     *fakeControl
+	controlAddr netip.AddrPort
+	targets     []*fakeTarget
 }
 
 func routes() []site.Route {
@@ -265,8 +271,25 @@
 	})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = srv.Close() })
+	fx.controlAddr = srv.Addr()
+	fx.startInstance("e1")
+	return fx
+}
+
+// another returns a fixture with the same targets and control, and a Gateway of its own.
+func (fx *fixture) another(name string) *fixture {
+	fx.t.Helper()
+	other := *fx
+	other.startInstance(name)
+	return &other
+}
+
+// startInstance starts the Gateway of the fixture.
+func (fx *fixture) startInstance(name string) {
+	t := fx.t
+	t.Helper()
 	p := &daemon.Process{
-		Common: daemon.Common{Name: "e1", Zone: "z"}, Log: daemon.DiscardLogger(), Scope: tally.NoopScope,
+		Common: daemon.Common{Name: name, Zone: "z"}, Log: daemon.DiscardLogger(), Scope: tally.NoopScope,
 		Tracer: noop.NewTracerProvider().Tracer(""),
 	}
 	describe := func(h http.Header) (r steer.Request, err error) {
@@ -286,16 +309,16 @@
 			Services: []site.Service{{Name: "plain", HealthPath: "/health"}, {Name: "engines", HealthPath: "/health", Engine: &site.Engine{KVTokens: 10_000, Models: []site.Model{{Name: "m"}, {Name: "rare"}}}}},
 		}, nil
 	}
-	fx.gateway = New(p, testHeaders, describe, decode, func() []netip.AddrPort { return []netip.AddrPort{srv.Addr()} },
+	fx.gateway = New(p, testHeaders, describe, decode, func() []netip.AddrPort { return []netip.AddrPort{fx.controlAddr} },
 		WithRetryLimit(steer.RetryLimit{Ratio: 1, Slack: 50, Window: time.Second}))
 	fx.establishBudgets(fx.gateway.retryLimit)
 	assert.NilError(t, fx.gateway.report(t.Context()))
-	fx.front = httptest.NewServer(fx.gateway)
+	front, gateway := httptest.NewServer(fx.gateway), fx.gateway
+	fx.front = front
 	t.Cleanup(func() {
-		fx.front.Close()
-		_ = fx.gateway.Close()
+		front.Close()
+		_ = gateway.Close()
 	})
-	return fx
 }
 
 // removeTargets makes control report that all targets are gone.
--- a/entry/gate/handler.go
+++ b/entry/gate/handler.go
@@ -52,6 +52,8 @@
 	customer *site.Customer
 	key      keys.Digest
 	prompt   steer.Request
+	// parts are those of prompt.
+	parts    promptParts
 	outbound *relay.Request
 
 	arrivedAt time.Time
@@ -301,6 +303,7 @@
 		return nil
 	}
 	c.declared = c.service.Engine.Model(c.prompt.Model) != nil
+	c.parts = c.findParts()
 	return nil
 }
 
--- a/entry/gate/suspect.go
+++ b/entry/gate/suspect.go
@@ -5,7 +5,9 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"iter"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -158,15 +160,41 @@
 	return poison.FingerprintOf(c.outbound.Body, names...)
 }
 
-// parts returns the fingerprints of the parts of the prompt that may crash targets: the last
-// part belongs to the request or its session alone.
-func (c *call) parts() []poison.Fingerprint {
-	n := min(max(len(c.prompt.Parts)-1, 0), maxParts)
-	out := make([]poison.Fingerprint, n)
-	for i := range out {
-		out[i] = poison.PartFingerprint(c.service.Name, c.prompt.Parts[i].ID)
+// promptParts holds the fingerprints of the parts of a prompt that may crash targets.
+type promptParts struct {
+	// shared are those of the parts, and ofCustomer those of the parts as the customer uses them, in the same
+	// order; ofCustomer is empty if there are no customers.
+	shared, ofCustomer []poison.Fingerprint
+}
+
+// all returns the fingerprints of both kinds.
+func (p *promptParts) all() iter.Seq[poison.Fingerprint] {
+	return func(yield func(poison.Fingerprint) bool) {
+		for _, list := range [][]poison.Fingerprint{p.shared, p.ofCustomer} {
+			for _, fp := range list {
+				if !yield(fp) {
+					return
+				}
+			}
+		}
 	}
-	return out
+}
+
+// findParts returns the parts of the prompt that may crash targets: the last part belongs to the
+// request or its session alone.
+func (c *call) findParts() (p promptParts) {
+	for _, x := range c.prompt.Parts[:min(max(len(c.prompt.Parts)-1, 0), maxParts)] {
+		p.shared = append(p.shared, poison.PartFingerprint(c.service.Name, x.ID))
+		if !c.index.Config.KeysRequired {
+			continue
+		}
+		name := "" // of those who need no key
+		if c.customer != nil {
+			name = c.customer.Name
+		}
+		p.ofCustomer = append(p.ofCustomer, poison.CustomerPartFingerprint(c.service.Name, name, x.ID))
+	}
+	return p
 }
 
 // partsVerdict returns the verdict of control on the parts of the prompt; ok is false if
@@ -179,7 +207,7 @@
 		return verdict{}, false
 	}
 	var blocked poison.BlockedParts
-	for _, fp := range c.parts() {
+	for fp := range c.parts.all() {
 		part, found := s.parts[fp]
 		if !found || time.Now().After(part.until) {
 			continue
@@ -196,7 +224,7 @@
 // crashes targets. The caller holds mu.
 func (c *call) clearParts() {
 	s := &c.gateway.suspects
-	for _, fp := range c.parts() {
+	for fp := range c.parts.all() {
 		s.cleared.Add(fp)
 		if _, ok := s.parts[fp]; ok {
 			s.complete(fp)
@@ -250,16 +278,28 @@
 
 // unclearedParts returns the parts of the prompt that no answer has cleared, if the last
 // attempt had no output. The caller holds mu.
-func (c *call) unclearedParts() (out []poison.Fingerprint) {
+func (c *call) unclearedParts() (out promptParts) {
 	if c.hasOutput {
-		return nil
+		return out
 	}
-	for _, part := range c.parts() {
-		if !c.gateway.suspects.cleared.Has(part) {
-			out = append(out, part)
+	cleared := c.gateway.suspects.cleared.Has
+	return promptParts{
+		shared:     slices.DeleteFunc(slices.Clone(c.parts.shared), cleared),
+		ofCustomer: slices.DeleteFunc(slices.Clone(c.parts.ofCustomer), cleared),
+	}
+}
+
+// hasUnclearedParts reports whether unclearedParts returns any. The caller holds mu.
+func (c *call) hasUnclearedParts() bool {
+	if c.hasOutput {
+		return false
+	}
+	for fp := range c.parts.all() {
+		if !c.gateway.suspects.cleared.Has(fp) {
+			return true
 		}
 	}
-	return out
+	return false
 }
 
 // mayHaveCrashed reports whether the request may be the one that has crashed its target: no
@@ -270,7 +310,7 @@
 		return false
 	}
 	c.gateway.mu.Lock()
-	suspicious := len(c.unclearedParts()) > 0
+	suspicious := c.hasUnclearedParts()
 	c.gateway.mu.Unlock()
 	return suspicious && c.gateway.checkHealth(c.dest, c.service) != nil
 }
@@ -287,14 +327,23 @@
 	if len(c.gateway.suspects.lost) >= maxLost {
 		return
 	}
-	lost := &wire.LostRequest{Fingerprint: fp[:], Target: c.dest.ID, BornMillis: c.dest.startedAt.UnixMilli()}
-	for _, part := range c.unclearedParts() {
-		lost.Parts = append(lost.Parts, part[:])
+	parts := c.unclearedParts()
+	lost := &wire.LostRequest{
+		Fingerprint: fp[:], Target: c.dest.ID, BornMillis: c.dest.startedAt.UnixMilli(),
+		Parts: fingerprintBytes(parts.shared), CustomerParts: fingerprintBytes(parts.ofCustomer),
 	}
 	c.gateway.suspects.lost = append(c.gateway.suspects.lost, lost)
 	c.gateway.triggerReport()
 }
 
+// fingerprintBytes returns the fingerprints as a message holds them.
+func fingerprintBytes(list []poison.Fingerprint) (out [][]byte) {
+	for _, fp := range list {
+		out = append(out, fp[:])
+	}
+	return out
+}
+
 // recordCompleted clears the verdict on a suspect that a target has completed, and
 // reports its completion to control.
 func (c *call) recordCompleted() {
--- a/entry/gate/trial.go
+++ b/entry/gate/trial.go
@@ -71,7 +71,7 @@
 	}
 	var suspect []poison.Fingerprint
 	ready := true
-	for _, fp := range c.parts() {
+	for fp := range c.parts.all() {
 		v, found := s.parts[fp]
 		if !found || v.blocked || now.After(v.until) {
 			continue
@@ -103,7 +103,7 @@
 	g := c.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !c.onTrial && len(c.unclearedParts()) > 0 {
+	if !c.onTrial && c.hasUnclearedParts() {
 		if g.suspects.running == nil {
 			g.suspects.running = make(map[*call]context.CancelCauseFunc)
 		}
@@ -122,7 +122,7 @@
 // would crash one after the other. The caller holds Gateway.mu.
 func (s *suspects) cancelRunning() (n int) {
 	for c, cancel := range s.running {
-		for _, fp := range c.parts() {
+		for fp := range c.parts.all() {
 			if _, suspect := s.parts[fp]; suspect && !s.cleared.Has(fp) {
 				cancel(errSuspectPart)
 				delete(s.running, c)
--- a/lib/poison/count.go
+++ b/lib/poison/count.go
@@ -55,6 +55,8 @@
 	processes map[Process]loss
 	// lastLoss is the latest time of a loss.
 	lastLoss time.Time
+	// ofCustomer is set for a part of prompts as it was used by one customer.
+	ofCustomer bool
 }
 
 // loss is the loss of one process.
--- a/lib/poison/parts.go
+++ b/lib/poison/parts.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,17 @@
 	return fp
 }
 
+// CustomerPartFingerprint returns the fingerprint of one part of a prompt to a service as one customer uses it. It
+// differs from those of other customers, and ends like that of the part.
+func CustomerPartFingerprint(service, customer string, part uint64) (fp Fingerprint) {
+	binary.BigEndian.PutUint64(fp[:8], xxhash.Sum64String("customer "+strconv.Quote(customer)+" part of "+service))
+	binary.BigEndian.PutUint64(fp[8:], part)
+	return fp
+}
+
+// samePart reports whether two fingerprints are of the same part of prompts, of whichever customers and services.
+func samePart(a, b Fingerprint) bool { return bytes.Equal(a[8:], b[8:]) }
+
 // maxClearedParts bounds the parts in one of the two generations of ClearedParts.
 const maxClearedParts = 8192
 
@@ -56,7 +68,11 @@
 // A part that was lost with blockThreshold processes is blocked. Parts that were lost with
 // the same processes form a group, and only requests with all parts of the group are
 // blocked: requests with some of them either clear these parts or crash another process,
-// which tells the parts apart. The zero value is empty.
+// which tells the parts apart.
+//
+// What crashes a process may depend on the customer, so that the losses are counted both for a part and for the part
+// as one customer uses it. If one customer has lost all the processes that were lost with a part, only its own
+// requests are suspect. The zero value is empty.
 type PartCounter struct {
 	losses LossCounter
 	// suspects holds the last result of Suspects, and stale whether it must be computed anew.
@@ -93,8 +109,16 @@
 // Unsaved reports whether the losses have changed since the last call of Save.
 func (c *PartCounter) Unsaved() bool { return c.losses.Unsaved() }
 
-// Save returns the losses, for Load at a later leader.
-func (c *PartCounter) Save() []*wire.PartLoss { return c.losses.Save() }
+// Save returns the losses, for Load at a later leader, without those of SaveOfCustomers.
+func (c *PartCounter) Save() []*wire.PartLoss {
+	c.losses.unsaved = false
+	return c.losses.saveOnly(func(x *losses) bool { return !x.ofCustomer })
+}
+
+// SaveOfCustomers returns the losses with parts as one customer uses them, for LoadOfCustomers.
+func (c *PartCounter) SaveOfCustomers() []*wire.PartLoss {
+	return c.losses.saveOnly(func(x *losses) bool { return x.ofCustomer })
+}
 
 // SaveAgain makes Unsaved true even if the losses do not change any more.
 func (c *PartCounter) SaveAgain() { c.losses.SaveAgain() }
@@ -106,6 +130,23 @@
 	c.stale = true
 }
 
+// LoadOfCustomers adds saved losses with parts as one customer uses them.
+func (c *PartCounter) LoadOfCustomers(now time.Time, saved []*wire.PartLoss) {
+	c.Load(now, saved)
+	for _, s := range saved {
+		if len(s.GetFingerprint()) == FingerprintSize {
+			c.markOfCustomer(Fingerprint(s.GetFingerprint()))
+		}
+	}
+}
+
+// markOfCustomer records that the fingerprint is of a part as one customer uses it.
+func (c *PartCounter) markOfCustomer(fp Fingerprint) {
+	if x := c.losses.byFingerprint[fp]; x != nil {
+		x.ofCustomer = true
+	}
+}
+
 // RecordLoss records that the process was lost before the first output of a request with the
 // given parts that no answer has cleared.
 func (c *PartCounter) RecordLoss(now time.Time, parts []Fingerprint, p Process) {
@@ -117,6 +158,14 @@
 	c.stale = c.stale || len(parts) > 0
 }
 
+// RecordCustomerLoss does the same for parts as the customer of the request uses them.
+func (c *PartCounter) RecordCustomerLoss(now time.Time, parts []Fingerprint, p Process) {
+	c.RecordLoss(now, parts, p)
+	for _, fp := range parts {
+		c.markOfCustomer(fp)
+	}
+}
+
 // RequireSequence is that of LossCounter.
 func (c *PartCounter) RequireSequence(p Process, firstAfter uint64) {
 	c.losses.RequireSequence(p, firstAfter)
@@ -132,8 +181,16 @@
 }
 
 // RecordCompletion records that a target has begun an answer on the part. It reports whether
-// targets had been lost with the part.
+// targets had been lost with the part. If it is that of one customer, the part does not crash targets by itself
+// either.
 func (c *PartCounter) RecordCompletion(fp Fingerprint) (known bool) {
+	if x := c.losses.byFingerprint[fp]; x != nil && x.ofCustomer {
+		for _, other := range c.lostWith(x) {
+			if y := c.losses.byFingerprint[other]; y != nil && !y.ofCustomer && samePart(other, fp) {
+				c.losses.RecordCompletion(other)
+			}
+		}
+	}
 	known = c.losses.RecordCompletion(fp)
 	c.stale = c.stale || known
 	return known
@@ -145,7 +202,9 @@
 	if !c.stale && !slices.ContainsFunc(c.suspects, expired) {
 		return c.suspects
 	}
-	all := c.losses.Suspects(now)
+	all := slices.DeleteFunc(c.losses.Suspects(now), func(s *wire.Suspect) bool {
+		return c.lostByOneCustomer(Fingerprint(s.GetFingerprint()))
+	})
 	blocked := make([]*wire.Suspect, 0, len(all))
 	for _, s := range all {
 		s.Part = true
@@ -197,6 +256,27 @@
 	return false
 }
 
+// lostByOneCustomer reports whether one customer has lost, with the part, all the processes that were lost with it.
+// The part of that customer is a suspect then.
+func (c *PartCounter) lostByOneCustomer(fp Fingerprint) bool {
+	own := c.losses.byFingerprint[fp]
+	if own.ofCustomer {
+		return false
+	}
+	return slices.ContainsFunc(c.lostWith(own), func(other Fingerprint) bool {
+		x := c.losses.byFingerprint[other]
+		return x.ofCustomer && samePart(other, fp) && containsAll(x.processes, own.processes)
+	})
+}
+
+// lostWith returns the fingerprints that were lost with the processes of x, once for each process.
+func (c *PartCounter) lostWith(x *losses) (out []Fingerprint) {
+	for p := range x.processes {
+		out = append(out, c.losses.byProcess[p]...)
+	}
+	return out
+}
+
 func containsAll(all, some map[Process]loss) bool {
 	for p := range some {
 		if _, ok := all[p]; !ok {
--- a/lib/poison/save.go
+++ b/lib/poison/save.go
@@ -24,10 +24,17 @@
 
 // Save returns the losses, for Load at a later leader. If there are more than maxSavedLosses, it
 // prefers those with the most processes, and then the latest ones.
-func (c *LossCounter) Save() (out []*wire.PartLoss) {
+func (c *LossCounter) Save() []*wire.PartLoss {
 	c.unsaved = false
+	return c.saveOnly(func(*losses) bool { return true })
+}
+
+// saveOnly returns the losses for which keep is true, as Save does.
+func (c *LossCounter) saveOnly(keep func(x *losses) bool) (out []*wire.PartLoss) {
 	for fp, x := range c.byFingerprint {
-		out = append(out, &wire.PartLoss{Fingerprint: fp[:], Processes: x.save()})
+		if keep(x) {
+			out = append(out, &wire.PartLoss{Fingerprint: fp[:], Processes: x.save()})
+		}
 	}
 	slices.SortFunc(out, func(a, b *wire.PartLoss) int {
 		return cmp.Or(cmp.Compare(len(b.GetProcesses()), len(a.GetProcesses())),
