--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -547,17 +547,24 @@
 	wg.Wait()
 }
 
-// Guards against a new leader that does not know the requests and parts of prompts with which the previous
-// one has lost targets, and against a verdict that an operator cannot lift.
-func TestLossesOutliveTheLeader(t *testing.T) {
+// startLeader returns a Fleet without targets that leads in the given term.
+func startLeader(t *testing.T, term *uint64) *Fleet {
+	t.Helper()
 	p := testProcess()
 	svc := newService("c1", p)
 	svc.group = singleInstance(svc)
-	term := uint64(1)
-	svc.group.Leading = func() (uint64, bool) { return term, true }
+	svc.group.Leading = func() (uint64, bool) { return *term, true }
 	f := newFleet(svc, p.Log, p.Scope, "c1", &options{})
 	svc.fleet = f
 	t.Cleanup(func() { _ = f.Close() })
+	return f
+}
+
+// Guards against a new leader that does not know the requests and parts of prompts with which the previous
+// one has lost targets, and against a verdict that an operator cannot lift.
+func TestLossesOutliveTheLeader(t *testing.T) {
+	term := uint64(1)
+	f := startLeader(t, &term)
 	fp := poison.PartFingerprint("models", 7)
 	request := poison.Fingerprint{1}
 	for i := range 3 {
@@ -575,7 +582,7 @@
 	assert.DeepEqual(t, reply.GetSuspects()[1].GetFingerprint(), fp[:])
 	for _, s := range reply.GetSuspects() {
 		assert.Equal(t, s.GetVerdict(), wire.Verdict_VERDICT_BLOCKED)
-		lifted, err := svc.Clear(t.Context(), &wire.ClearRequest{Protocol: link.Protocol, Fingerprint: s.GetFingerprint()})
+		lifted, err := f.svc.Clear(t.Context(), &wire.ClearRequest{Protocol: link.Protocol, Fingerprint: s.GetFingerprint()})
 		assert.NilError(t, err)
 		assert.Assert(t, lifted.GetKnown())
 	}
@@ -586,14 +593,8 @@
 
 // Guards against parts of one customer that a new leader takes for parts of all customers.
 func TestCustomerPartsOutliveTheLeader(t *testing.T) {
-	p := testProcess()
-	svc := newService("c1", p)
-	svc.group = singleInstance(svc)
 	term := uint64(1)
-	svc.group.Leading = func() (uint64, bool) { return term, true }
-	f := newFleet(svc, p.Log, p.Scope, "c1", &options{})
-	svc.fleet = f
-	t.Cleanup(func() { _ = f.Close() })
+	f := startLeader(t, &term)
 	shared, ofCustomer := poison.PartFingerprint("models", 7), poison.CustomerPartFingerprint("models", "a", 7)
 	for i := range 3 {
 		_, _, err := f.report(time.Now(), &wire.FleetRequest{Name: "e", Lost: []*wire.LostRequest{{
--- a/entry/gate/fixture_test.go
+++ b/entry/gate/fixture_test.go
@@ -368,6 +368,22 @@
 	return res, string(text), err
 }
 
+// countFailures sends n requests that may run only once, one after the other, and returns how many were not
+// answered with 200.
+func (fx *fixture) countFailures(n int) (failed int) {
+	fx.t.Helper()
+	for i := range n {
+		res, _, err := fx.do(fx.t.Context(), http.MethodPost, "/once/1", "x", func(r *http.Request) {
+			r.Header.Set("T-Id", fmt.Sprint("r", i))
+		})
+		assert.NilError(fx.t, err)
+		if res.StatusCode != http.StatusOK {
+			failed++
+		}
+	}
+	return failed
+}
+
 func respondSealed(status int, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("T-Seal", "s")
--- a/entry/gate/gate_test.go
+++ b/entry/gate/gate_test.go
@@ -105,16 +105,7 @@
 // still gets its full share of the requests that may run only once (incident inc-11ef).
 func TestFailingTargetLosesWork(t *testing.T) {
 	fx := newFixture(t, "plain", respondSealed(http.StatusInternalServerError, "no"), respondSealed(http.StatusOK, "ok"))
-	failed := 0
-	for i := range 20 {
-		res, _, err := fx.do(t.Context(), http.MethodPost, "/once/1", "x", func(r *http.Request) {
-			r.Header.Set("T-Id", fmt.Sprint("r", i))
-		})
-		assert.NilError(t, err)
-		if res.StatusCode != http.StatusOK {
-			failed++
-		}
-	}
+	failed := fx.countFailures(20)
 	assert.Assert(t, failed <= 3, "%d of 20 requests went to the failing target", failed)
 }
 
--- a/entry/gate/promise_test.go
+++ b/entry/gate/promise_test.go
@@ -158,16 +158,7 @@
 		reached := false
 		for range 8 { // The first target is drawn.
 			fx := newFixture(t, "plain", refusal{status: status, form: "length", seal: true}.ServeHTTP, respondSealed(http.StatusOK, "ok"))
-			failed := 0
-			for i := range 20 {
-				res, _, err := fx.do(t.Context(), http.MethodPost, "/once/1", "x", func(r *http.Request) {
-					r.Header.Set("T-Id", fmt.Sprint("r", i))
-				})
-				assert.NilError(t, err)
-				if res.StatusCode != http.StatusOK {
-					failed++
-				}
-			}
+			failed := fx.countFailures(20)
 			assert.Assert(t, failed <= 3, "%d of 20 requests went to the target that refuses with %d", failed, status)
 			reached = reached || failed > 0
 		}
