--- a/control/lost.go
+++ b/control/lost.go
@@ -42,8 +42,12 @@
 		firstAfter := f.table.SequenceAfter(now, l.GetTarget(), time.UnixMilli(l.GetBornMillis()), f.announcePeriod)
 		f.lostRequests.RequireSequence(process, firstAfter)
 		f.lostParts.RequireSequence(process, firstAfter)
-		f.log.Warn().Str("event", "requestLost").Str("entry", req.GetName()).Str("target", l.GetTarget()).
-			Hex("fingerprint", l.GetFingerprint()).Str("parts", fmt.Sprintf("%x", parts)).Str("customerParts", fmt.Sprintf("%x", ofCustomer)).Msg("")
+		e := f.log.Warn().Str("event", "requestLost").Str("entry", req.GetName()).Str("target", l.GetTarget()).
+			Hex("fingerprint", l.GetFingerprint()).Str("parts", fmt.Sprintf("%x", parts))
+		if len(ofCustomer) > 0 {
+			e = e.Str("customerParts", fmt.Sprintf("%x", ofCustomer))
+		}
+		e.Msg("")
 	}
 	for _, fp := range req.GetCompleted() {
 		if len(fp) == poison.FingerprintSize {
--- a/entry/gate/parts.go
+++ b/entry/gate/parts.go
@@ -39,7 +39,7 @@
 		if !c.index.Config.KeysRequired {
 			continue
 		}
-		name := "" // of those who need no key
+		name := "" // Requests that need no key count as those of one more customer.
 		if c.customer != nil {
 			name = c.customer.Name
 		}
