--- a/lib/poison/customer_test.go
+++ b/lib/poison/customer_test.go
@@ -64,3 +64,31 @@
 		seen[fp] = true
 	}
 }
+
+// Guards against counts that grow with the customers, and against one customer's many lost prompts that push another
+// customer's block out, or leave the part blocked for all.
+func TestCustomerPartsAreBounded(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	var c PartCounter
+	lose := func(customer string, part uint64, p Process) {
+		c.RecordLoss(now, []Fingerprint{PartFingerprint("models", part)}, p)
+		c.RecordCustomerLoss(now, []Fingerprint{CustomerPartFingerprint("models", customer, part)}, p)
+	}
+	for n := range blockThreshold {
+		lose("a", 7, Process{Target: fmt.Sprint("t", n)})
+	}
+	for n := range 3 * maxCountedRequests {
+		now = now.Add(time.Millisecond)
+		lose(fmt.Sprint("customer ", n%16), uint64(100+n), Process{Target: "u", BornMillis: int64(n / 64)})
+	}
+	assert.Assert(t, len(c.losses.byFingerprint) <= maxCountedRequests)
+	assert.Equal(t, len(c.Save()), maxSavedLosses)
+	assert.Equal(t, len(c.SaveOfCustomers()), maxSavedLosses)
+	var next PartCounter
+	next.Load(now, c.Save())
+	next.LoadOfCustomers(now, c.SaveOfCustomers())
+	for _, x := range []*PartCounter{&c, &next} {
+		assert.Equal(t, len(x.Suspects(now)), 1)
+		assert.Equal(t, Fingerprint(x.Suspects(now)[0].GetFingerprint()), CustomerPartFingerprint("models", "a", 7))
+	}
+}
