poison: verdicts on parts are computed in one pass over those of customers

Cause: for each suspect part, all fingerprints that were lost with its processes were compared with it. They are found by the id of the part now.

--- a/lib/poison/customer_test.go
+++ b/lib/poison/customer_test.go
@@ -60,7 +60,7 @@
 	for _, names := range [][2]string{{"models", "a"}, {"models", ""}, {"models", "b"}, {"a", "models"}, {"models", "a part"}, {"models\" part of", "a"}} {
 		fp := CustomerPartFingerprint(names[0], names[1], 7)
 		assert.Assert(t, !seen[fp], "%v", names)
-		assert.Assert(t, samePart(fp, PartFingerprint("other", 7)) && !samePart(fp, PartFingerprint("models", 8)))
+		assert.Assert(t, partID(fp) == partID(PartFingerprint("other", 7)) && partID(fp) != partID(PartFingerprint("models", 8)))
 		seen[fp] = true
 	}
 }
--- a/lib/poison/parts.go
+++ b/lib/poison/parts.go
@@ -29,8 +29,8 @@
 	return fp
 }
 
-// samePart reports whether two fingerprints are of the same part of prompts, of whichever customers and services.
-func samePart(a, b Fingerprint) bool { return bytes.Equal(a[8:], b[8:]) }
+// partID returns the id of the part of prompts, for the fingerprints of both kinds.
+func partID(fp Fingerprint) uint64 { return binary.BigEndian.Uint64(fp[8:]) }
 
 // maxClearedParts bounds the parts in one of the two generations of ClearedParts.
 const maxClearedParts = 8192
@@ -186,7 +186,7 @@
 func (c *PartCounter) RecordCompletion(fp Fingerprint) (known bool) {
 	if x := c.losses.byFingerprint[fp]; x != nil && x.ofCustomer {
 		for _, other := range c.lostWith(x) {
-			if y := c.losses.byFingerprint[other]; y != nil && !y.ofCustomer && samePart(other, fp) {
+			if y := c.losses.byFingerprint[other]; y != nil && !y.ofCustomer && partID(other) == partID(fp) {
 				c.losses.RecordCompletion(other)
 			}
 		}
@@ -202,8 +202,9 @@
 	if !c.stale && !slices.ContainsFunc(c.suspects, expired) {
 		return c.suspects
 	}
+	ofCustomers := c.suspectsOfCustomers()
 	all := slices.DeleteFunc(c.losses.Suspects(now), func(s *wire.Suspect) bool {
-		return c.lostByOneCustomer(Fingerprint(s.GetFingerprint()))
+		return c.lostByOneCustomer(Fingerprint(s.GetFingerprint()), ofCustomers)
 	})
 	blocked := make([]*wire.Suspect, 0, len(all))
 	for _, s := range all {
@@ -256,16 +257,24 @@
 	return false
 }
 
+// suspectsOfCustomers returns the losses with parts as one customer uses them, by the id of the part, if they are
+// enough for a suspect.
+func (c *PartCounter) suspectsOfCustomers() map[uint64][]*losses {
+	out := make(map[uint64][]*losses)
+	for fp, x := range c.losses.byFingerprint {
+		if x.ofCustomer && len(x.processes) >= suspectThreshold {
+			out[partID(fp)] = append(out[partID(fp)], x)
+		}
+	}
+	return out
+}
+
 // lostByOneCustomer reports whether one customer has lost, with the part, all the processes that were lost with it.
-// The part of that customer is a suspect then.
-func (c *PartCounter) lostByOneCustomer(fp Fingerprint) bool {
+// The part of that customer is a suspect then. ofCustomers is the result of suspectsOfCustomers.
+func (c *PartCounter) lostByOneCustomer(fp Fingerprint, ofCustomers map[uint64][]*losses) bool {
 	own := c.losses.byFingerprint[fp]
-	if own.ofCustomer {
-		return false
-	}
-	return slices.ContainsFunc(c.lostWith(own), func(other Fingerprint) bool {
-		x := c.losses.byFingerprint[other]
-		return x.ofCustomer && samePart(other, fp) && containsAll(x.processes, own.processes)
+	return !own.ofCustomer && slices.ContainsFunc(ofCustomers[partID(fp)], func(x *losses) bool {
+		return containsAll(x.processes, own.processes)
 	})
 }
 
