--- a/entry/gate/promise_history_test.go
+++ b/entry/gate/promise_history_test.go
@@ -21,22 +21,28 @@
 	acts []act
 	// beforeAnswer, if set, runs once when the first request has been run or refused.
 	beforeAnswer func()
-	runs, gotten int
+	// received and runs count the requests that have arrived and those that the target ran.
+	received, runs int
 }
 
 // act is what a target does with one request.
 type act int
 
 const (
+	// actAnswer and actFail answer under the seal.
 	actAnswer act = iota
 	actFail
+	// actUnmarked and actUnmarkedLong run the request and answer with a refusal that is not marked.
 	actUnmarked
 	actUnmarkedLong
+	// actMarked and actMisdirected refuse the request and do not run it.
 	actMarked
 	actMisdirected
+	// actBreak closes the connection, actCut breaks off a refusal and actBeginAndCut a stream.
 	actBreak
 	actCut
 	actBeginAndCut
+	// actHang answers nothing until the client or the instance gives up.
 	actHang
 	lastAct = actHang
 )
@@ -48,18 +54,19 @@
 func (x *actor) next() act {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	a := x.acts[min(x.gotten, len(x.acts)-1)]
-	x.gotten++
+	a := x.acts[min(x.received, len(x.acts)-1)]
+	x.received++
 	if a.runsRequest() {
 		x.runs++
 	}
 	return a
 }
 
-func (x *actor) counts() (runs, gotten int) {
+// runCount returns how many requests the target has run.
+func (x *actor) runCount() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.runs, x.gotten
+	return x.runs
 }
 
 // drawnAnswer is the text of answers under a seal.
@@ -170,8 +177,7 @@
 		time.Sleep(5 * time.Millisecond) // What is still on its way arrives.
 		runs := 0
 		for _, x := range actors {
-			n, _ := x.counts()
-			runs += n
+			runs += x.runCount()
 		}
 		repeatable := path == "/safe/x" || path == "/resumed/x"
 		if !repeatable {
